--- a/cmake/Components.cmake
+++ b/cmake/Components.cmake
@@ -20,7 +20,7 @@
                                                              $<INSTALL_INTERFACE:include>)
     target_link_libraries(lovagecross_${name} INTERFACE ${ARG_DEPS})
   endif()
-  if(tests)
+  if(tests AND LOVAGECROSS_TESTS)
     add_executable(${name}Tests ${tests})
     target_link_libraries(${name}Tests PRIVATE lovagecross_${name} ${ARG_TEST_DEPS} lovagecross_testmain
                                                lovagecross_warnings)
@@ -39,6 +39,9 @@
 # lovagecross_named_test(TEST ctestName BINARY testsTarget CASES path...) runs only the given CppUnit test
 # paths of BINARY under a CTest name of its own, such as guarantee.callsInOrder.
 function(lovagecross_named_test)
+  if(NOT LOVAGECROSS_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "TEST;BINARY;LABEL;TIMEOUT" "CASES" ${ARGN})
   add_test(NAME ${ARG_TEST} COMMAND ${ARG_BINARY} ${ARG_CASES})
   if(NOT ARG_TIMEOUT)
--- a/lovagecross/adapters/HttpObjectStore.cpp
+++ b/lovagecross/adapters/HttpObjectStore.cpp
@@ -1,23 +1,22 @@
 #include "lovagecross/adapters/HttpObjectStore.h"
 
 #include "lovagecross/adapters/HttpConnection.h"
+#include "lovagecross/adapters/HttpConnectionPool.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <condition_variable>
 #include <iterator>
-#include <mutex>
 #include <sstream>
 #include <vector>
 
 namespace lovagecross {
 
 using detail::HttpCall;
-using detail::HttpConnection;
+using detail::HttpConnectionPool;
 using detail::HttpEnd;
-using detail::HttpLimits;
+using detail::HttpReply;
 
 struct StoreCall {
     HttpCall http;
@@ -25,75 +24,12 @@
     std::size_t maxBodyBytes = maxObjectBytes;
 };
 
-// A bounded number of connections, the free ones kept open.
-class HttpObjectStore::Pool {
-public:
-    Pool(std::string address, const Clock& clock, std::size_t limit)
-        : address(std::move(address))
-        , clock(clock)
-        , limit(limit)
-    {
-    }
-
-    // nullptr when all are in use until the deadline.
-    std::unique_ptr<HttpConnection> acquire(TimePoint deadline, bool& kept)
-    {
-        std::unique_lock lock(this->mutex);
-        Duration wait = deadline - this->clock.now();
-        if (!this->freed.wait_for(lock, wait, [this] { return this->inUse < this->limit; }))
-            return nullptr;
-        ++this->inUse;
-        while (!this->idle.empty()) {
-            auto connection = std::move(this->idle.back());
-            this->idle.pop_back();
-            kept = true;
-            if (connection->reusable())
-                return connection;
-        }
-        return this->fresh(kept);
-    }
-
-    std::unique_ptr<HttpConnection> fresh(bool& kept) const
-    {
-        kept = false;
-        return std::make_unique<HttpConnection>(this->address, this->clock);
-    }
-
-    void release(std::unique_ptr<HttpConnection> connection)
-    {
-        std::lock_guard lock(this->mutex);
-        --this->inUse;
-        if (connection->reusable())
-            this->idle.push_back(std::move(connection));
-        this->freed.notify_one();
-    }
-
-private:
-    std::string address;
-    const Clock& clock;
-    std::size_t limit;
-    std::mutex mutex;
-    std::condition_variable freed;
-    std::size_t inUse = 0;
-    std::vector<std::unique_ptr<HttpConnection>> idle;
-};
-
-struct HttpObjectStore::Reply {
-    HttpEnd end = HttpEnd::NotSent;
-    Poco::Net::HTTPResponse response;
-    std::string body;
-
-    int status() const { return this->response.getStatus(); }
-};
-
 namespace {
 
 // What a call ends with when no whole answer came.
-StoreStatus statusWithoutAnswer(HttpEnd end, bool write)
+StoreStatus statusWithoutAnswer(const HttpReply& reply, bool write)
 {
-    if (end == HttpEnd::NotSent || !write)
-        return StoreStatus::Unavailable;
-    return StoreStatus::Unknown;
+    return write && reply.mayHaveRun() ? StoreStatus::Unknown : StoreStatus::Unavailable;
 }
 
 // What an answer other than success means. A server error other than 503 says nothing about a write's effect.
@@ -172,48 +108,25 @@
 HttpObjectStore::HttpObjectStore(HttpObjectStoreSettings settings, const Clock& clock)
     : settings(std::move(settings))
     , clock(clock)
-    , pool(std::make_unique<Pool>(this->settings.address, clock, this->settings.maxConnections))
-    , watchPool(std::make_unique<Pool>(this->settings.address, clock, this->settings.maxWatchConnections))
+    , pool(std::make_unique<HttpConnectionPool>(
+          this->settings.address, clock, this->settings.maxConnections, this->settings.timeout))
+    , watchPool(std::make_unique<HttpConnectionPool>(
+          this->settings.address, clock, this->settings.maxWatchConnections, this->settings.timeout))
 {
 }
 
 HttpObjectStore::~HttpObjectStore() = default;
 
-HttpObjectStore::Reply HttpObjectStore::perform(Pool& pool, const StoreCall& call, Duration timeout)
-{
-    Reply reply;
-    HttpLimits limits;
-    limits.deadline = this->clock.now() + timeout;
-    limits.connectTimeout = this->settings.timeout;
-    bool kept = false;
-    auto connection = pool.acquire(limits.deadline, kept);
-    if (!connection)
-        return reply;
-    for (;;) {
-        reply.end = connection->exchange(call.http, limits, reply.response);
-        if (reply.end == HttpEnd::Complete)
-            reply.end = connection->readBody(reply.body, call.maxBodyBytes);
-        // The server may have closed a kept connection just before the request.
-        bool nothingRun = reply.end == HttpEnd::NotSent || !call.write;
-        bool closedBefore = reply.end == HttpEnd::NotSent || reply.end == HttpEnd::Lost;
-        if (!kept || !closedBefore || !nothingRun || connection->answerStarted())
-            break;
-        connection = pool.fresh(kept);
-    }
-    pool.release(std::move(connection));
-    return reply;
-}
-
 StoreResult HttpObjectStore::get(std::string_view key)
 {
     StoreCall call;
     call.http.method = "GET";
     call.http.path = objectPath(key);
-    Reply reply = this->perform(*this->pool, call, this->settings.timeout);
+    HttpReply reply = this->pool->perform(call.http, call.write, call.maxBodyBytes, this->settings.timeout);
     StoreResult result;
     result.object.key = key;
     if (reply.end != HttpEnd::Complete) {
-        result.status = statusWithoutAnswer(reply.end, false);
+        result.status = statusWithoutAnswer(reply, false);
     } else if (reply.status() != 200) {
         result.status = statusOfRefusal(reply.status(), false);
         result.retryAfter = detail::readRetryAfter(reply.response);
@@ -254,9 +167,9 @@
         result.status = StoreStatus::TooLarge;
         return result;
     }
-    Reply reply = this->perform(*this->pool, call, this->settings.timeout);
+    HttpReply reply = this->pool->perform(call.http, call.write, call.maxBodyBytes, this->settings.timeout);
     if (reply.end != HttpEnd::Complete) {
-        result.status = statusWithoutAnswer(reply.end, true);
+        result.status = statusWithoutAnswer(reply, true);
         return result;
     }
     bool hasVersion = detail::readNumberHeader(reply.response, "X-Version", result.object.version);
@@ -276,10 +189,10 @@
     call.http.path
         = "/objects?prefix=" + detail::encodePath(prefix, false) + "&values=" + (withValues ? "true" : "false");
     call.maxBodyBytes = this->settings.maxListBytes;
-    Reply reply = this->perform(*this->pool, call, this->settings.timeout);
+    HttpReply reply = this->pool->perform(call.http, call.write, call.maxBodyBytes, this->settings.timeout);
     ListResult result;
     if (reply.end != HttpEnd::Complete) {
-        result.status = statusWithoutAnswer(reply.end, false);
+        result.status = statusWithoutAnswer(reply, false);
         return result;
     }
     if (reply.status() != 200) {
@@ -301,11 +214,11 @@
     call.http.method = "GET";
     call.http.path = "/watch/" + detail::encodePath(key, true) + "?after=" + std::to_string(knownVersion)
         + "&timeoutMs=" + std::to_string(toMillis(timeout));
-    Reply reply = this->perform(*this->watchPool, call, timeout + this->settings.timeout);
+    HttpReply reply = this->watchPool->perform(call.http, false, call.maxBodyBytes, timeout + this->settings.timeout);
     StoreResult result;
     result.object.key = key;
     if (reply.end != HttpEnd::Complete) {
-        result.status = statusWithoutAnswer(reply.end, false);
+        result.status = statusWithoutAnswer(reply, false);
     } else if (reply.status() == 304) {
         result.status = StoreStatus::NotFound;
     } else if (reply.status() != 200) {
--- a/lovagecross/adapters/HttpObjectStore.h
+++ b/lovagecross/adapters/HttpObjectStore.h
@@ -20,6 +20,10 @@
 
 namespace lovagecross {
 
+namespace detail {
+class HttpConnectionPool;
+} // namespace detail
+
 struct HttpObjectStoreSettings {
     std::string address; // host:port
     Duration timeout = std::chrono::seconds(2); // of one call; a watch may take its own timeout on top
@@ -41,16 +45,12 @@
     StoreResult watch(std::string_view key, std::uint64_t knownVersion, Duration timeout) override;
 
 private:
-    class Pool;
-    struct Reply;
-
-    Reply perform(Pool& pool, const struct StoreCall& call, Duration timeout);
     StoreResult write(std::string_view key, const struct StoreCall& call);
 
     HttpObjectStoreSettings settings;
     const Clock& clock;
-    std::unique_ptr<Pool> pool;
-    std::unique_ptr<Pool> watchPool;
+    std::unique_ptr<detail::HttpConnectionPool> pool;
+    std::unique_ptr<detail::HttpConnectionPool> watchPool;
 };
 
 } // namespace lovagecross
--- a/lovagecross/adapters/Log.cpp
+++ b/lovagecross/adapters/Log.cpp
@@ -6,16 +6,22 @@
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
+#include <cerrno>
+#include <chrono>
 #include <cmath>
+#include <condition_variable>
 #include <cstdio>
 #include <ctime>
 #include <iostream>
 #include <mutex>
+#include <thread>
+#include <unistd.h>
 
 namespace lovagecross {
 
@@ -27,8 +33,105 @@
 std::atomic<LogLevel> currentLevel { LogLevel::Info };
 std::atomic<LogFormat> currentFormat { LogFormat::KeyValue };
 
-void installSink()
+// Collects lines in memory; a thread writes them to standard output a few times a second, so that a line costs no
+// system call of its own and a reader that doesn't read blocks nobody.
+class BufferedOutput {
+public:
+    BufferedOutput()
+        : writer([this] { this->run(); })
+    {
+    }
+    ~BufferedOutput()
+    {
+        {
+            std::lock_guard lock(this->mutex);
+            this->stopping = true;
+        }
+        this->wake.notify_all();
+        this->writer.join();
+    }
+    BufferedOutput(const BufferedOutput&) = delete;
+    BufferedOutput& operator=(const BufferedOutput&) = delete;
+
+    void add(const std::string& line)
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->buffer.size() + line.size() > maxBufferedBytes) {
+            ++this->dropped;
+            return;
+        }
+        this->buffer += line;
+        this->buffer += '\n';
+    }
+
+    void flush()
+    {
+        std::lock_guard writeLock(this->writeMutex);
+        std::string lines;
+        {
+            std::lock_guard lock(this->mutex);
+            lines.swap(this->buffer);
+            if (this->dropped > 0)
+                lines += R"({"level":"warning","event":"log_dropped","lines":)" + std::to_string(this->dropped) + "}\n";
+            this->dropped = 0;
+        }
+        std::string_view rest = lines;
+        while (!rest.empty()) {
+            ssize_t count = ::write(STDOUT_FILENO, rest.data(), rest.size());
+            if (count < 0 && errno == EINTR)
+                continue;
+            if (count <= 0)
+                return;
+            rest.remove_prefix(static_cast<std::size_t>(count));
+        }
+    }
+
+private:
+    void run()
+    {
+        std::unique_lock lock(this->mutex);
+        while (!this->stopping) {
+            this->wake.wait_for(lock, flushInterval, [this] { return this->stopping; });
+            lock.unlock();
+            this->flush();
+            lock.lock();
+        }
+    }
+
+    static constexpr std::size_t maxBufferedBytes = 512 * 1024;
+    static constexpr std::chrono::milliseconds flushInterval { 100 };
+
+    std::mutex mutex;
+    std::mutex writeMutex; // keeps the lines of two flushes apart; locked before `mutex`
+    std::condition_variable wake;
+    std::string buffer;
+    std::size_t dropped = 0;
+    bool stopping = false;
+    std::thread writer;
+};
+
+BufferedOutput& bufferedOutput()
 {
+    static BufferedOutput output;
+    return output;
+}
+
+class BufferedBackend : public logging::sinks::basic_formatted_sink_backend<char> {
+public:
+    void consume(const logging::record_view&, const string_type& line) { bufferedOutput().add(line); }
+};
+
+std::atomic<bool> buffered { false };
+
+void installSink(LogTarget target)
+{
+    if (target == LogTarget::StandardOutput) {
+        buffered = true;
+        auto sink = boost::make_shared<logging::sinks::synchronous_sink<BufferedBackend>>();
+        sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+        logging::core::get()->add_sink(sink);
+        return;
+    }
     auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
     backend->auto_flush(true);
@@ -37,10 +140,10 @@
     logging::core::get()->add_sink(sink);
 }
 
-void installSinkOnce()
+void installSinkOnce(LogTarget target)
 {
     static std::once_flag once;
-    std::call_once(once, installSink);
+    std::call_once(once, installSink, target);
 }
 
 std::string formatTime(std::int64_t unixMillis)
@@ -89,11 +192,17 @@
 
 } // namespace
 
-void setUpLogging(LogLevel level, LogFormat format)
+void setUpLogging(LogLevel level, LogFormat format, LogTarget target)
 {
     currentLevel = level;
     currentFormat = format;
-    installSinkOnce();
+    installSinkOnce(target);
+}
+
+void flushLog()
+{
+    if (buffered)
+        bufferedOutput().flush();
 }
 
 LogLine::LogLine(LogLevel level, std::string_view event)
@@ -154,7 +263,7 @@
 {
     if (!this->enabled)
         return;
-    installSinkOnce();
+    installSinkOnce(LogTarget::StandardError);
     std::string text = this->toString(currentFormat.load(std::memory_order_relaxed), SystemClock().unixMillis());
     logging::sources::logger logger;
     if (logging::record record = logger.open_record()) {
--- a/lovagecross/adapters/Log.h
+++ b/lovagecross/adapters/Log.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Log lines with named fields, written to standard error through Boost.Log.
+// Log lines with named fields, written through Boost.Log.
 //
 //     setUpLogging(settings.logLevel, settings.logFormat);
 //     LogLine(LogLevel::Info, "placement").field("program", id).field("scoreMs", 12.5).write();
@@ -23,8 +23,17 @@
 inline constexpr std::size_t maxLogValueBytes = 256;
 inline constexpr std::size_t maxLogFields = 32; // further fields are left out
 
-// May be called again to change level and format. Without a call: info, key=value.
-void setUpLogging(LogLevel level, LogFormat format);
+enum class LogTarget {
+    StandardError, // each line at once
+    StandardOutput, // from a bounded buffer by a thread of its own: a slow reader never blocks a call
+};
+
+// May be called again to change level and format. Without a call: info, key=value. The target of the first call holds.
+void setUpLogging(LogLevel level, LogFormat format, LogTarget target = LogTarget::StandardError);
+
+// Writes what the buffer of LogTarget::StandardOutput holds. Lines that found it full were dropped; a line
+// `log_dropped` tells how many.
+void flushLog();
 
 class LogLine {
 public:
--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -171,6 +171,7 @@
         forward->set_body_json(request.bodyJson);
         forward->set_hops(request.hops);
     }
+    void operator()(const RecordCall& call) const { this->out.mutable_record_call()->set_content(call.content); }
     void operator()(const ForwardCancel&) const { this->out.mutable_cancel(); }
     void operator()(const ForwardChunk& chunk) const
     {
@@ -236,6 +237,9 @@
         request = std::move(forward);
         return valid;
     }
+    case proto::Envelope::kRecordCall:
+        request = RecordCall { in.record_call().content() };
+        return true;
     default:
         return false;
     }
@@ -305,6 +309,7 @@
         this->out.mutable_end()->set_http_status(end.httpStatus);
         this->out.mutable_end()->set_body_json(end.bodyJson);
     }
+    void operator()(const RecordReply& reply) const { this->out.mutable_record_reply()->set_content(reply.content); }
 };
 
 bool readCopies(const proto::BridgeCopies& in, BridgeCopies& copies)
@@ -359,6 +364,9 @@
     case proto::Answer::kEnd:
         answer = ForwardEnd { in.end().http_status(), in.end().body_json() };
         return true;
+    case proto::Answer::kRecordReply:
+        answer = RecordReply { in.record_reply().content() };
+        return true;
     default:
         return false;
     }
@@ -421,6 +429,7 @@
         bool operator()(const Gossip&) const { return std::holds_alternative<Gossip>(this->answer); }
         bool operator()(const ConfigFetch&) const { return std::holds_alternative<ConfigDocument>(this->answer); }
         bool operator()(const ForwardRequest&) const { return std::holds_alternative<ForwardEnd>(this->answer); }
+        bool operator()(const RecordCall&) const { return std::holds_alternative<RecordReply>(this->answer); }
     };
     return std::visit(Matcher { answer }, request);
 }
--- a/lovagecross/adapters/PendingAnswer.cpp
+++ b/lovagecross/adapters/PendingAnswer.cpp
@@ -134,6 +134,14 @@
     this->done = true;
     this->finalStatus = newStatus;
     this->changed.notify_all();
+    if (this->ended)
+        this->ended();
+}
+
+bool PendingAnswer::isDone()
+{
+    std::lock_guard lock(this->mutex);
+    return this->done;
 }
 
 PeerStatus PendingAnswer::status()
--- a/lovagecross/adapters/PendingAnswer.h
+++ b/lovagecross/adapters/PendingAnswer.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <mutex>
 #include <string>
+#include <utility>
 
 namespace lovagecross::detail {
 
@@ -62,6 +63,13 @@
     const std::string& address() const { return this->peerAddress; }
     bool isForward() const { return this->forward; }
 
+    // Called once when the request ends, on the thread that ends it and under this object's lock. Set before the
+    // request is submitted.
+    void onEnd(std::function<void()> callback) { this->ended = std::move(callback); }
+
+    // Whether the request has ended.
+    bool isDone();
+
     // Passes chunks to the sink, until the request ends, the peer is silent for too long or the sink cancels. A request
     // that was not sent by then ends with Rejected.
     void wait(Duration silence, const ChunkSink& sink);
@@ -89,6 +97,7 @@
     const std::size_t maxAnswerBytes;
     HeldBytes& held;
 
+    std::function<void()> ended;
     std::mutex mutex;
     std::condition_variable changed;
     bool sent = false;
--- a/lovagecross/adapters/ZmqPeers.cpp
+++ b/lovagecross/adapters/ZmqPeers.cpp
@@ -46,6 +46,7 @@
 constexpr auto notificationLife = std::chrono::seconds(5); // an unsent notification is dropped after this
 constexpr auto stopFlushTime = std::chrono::milliseconds(500); // for answers that are ready when `stop` is called
 constexpr auto goodbyeAfterAnswer = std::chrono::seconds(1);
+constexpr auto lingerTime = std::chrono::seconds(2); // of a request whose asking thread no longer waits
 constexpr int sendHighWater = 32; // messages inside ZeroMQ, each connection
 constexpr int receiveHighWater = 64;
 constexpr std::size_t maxReceivesPerTurn = 256; // of one socket before the others get a turn
@@ -65,14 +66,16 @@
     Gossip,
     Config,
     Forward,
+    Record,
 };
 
-constexpr std::array<std::pair<Purpose, const char*>, 5> sentBytesCounters { {
+constexpr std::array<std::pair<Purpose, const char*>, 6> sentBytesCounters { {
     { Purpose::Promise, "peers.bytesSent.promise" },
     { Purpose::Bridge, "peers.bytesSent.bridge" },
     { Purpose::Gossip, "peers.bytesSent.gossip" },
     { Purpose::Config, "peers.bytesSent.config" },
     { Purpose::Forward, "peers.bytesSent.forward" },
+    { Purpose::Record, "peers.bytesSent.record" },
 } };
 
 Purpose purposeOf(const PeerRequest& request)
@@ -83,6 +86,8 @@
         return Purpose::Gossip;
     if (std::holds_alternative<ConfigFetch>(request))
         return Purpose::Config;
+    if (std::holds_alternative<RecordCall>(request))
+        return Purpose::Record;
     return isForward(request) ? Purpose::Forward : Purpose::Bridge;
 }
 
@@ -165,6 +170,7 @@
         , control(controlWorkers, this->settings.maxQueuedControl)
         , bridge(bridgeWorkers, this->settings.maxQueuedBridge)
         , forwards(this->settings.maxForwardWorkers, this->settings.maxQueuedForwards)
+        , records(this->settings.maxRecordWorkers, this->settings.maxQueuedRecords)
         , malformed(counters.counter("peers.malformed"))
         , unmatched(counters.counter("peers.unmatchedAnswers"))
         , refused(counters.counter("peers.refused"))
@@ -229,6 +235,7 @@
         this->control.stop();
         this->bridge.stop();
         this->forwards.stop();
+        this->records.stop();
         this->handlersStopped = true;
         this->wake();
         this->ioThread.join();
@@ -261,6 +268,53 @@
         return result;
     }
 
+    std::vector<PeerResult> requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
+        Duration timeout, const EnoughAnswers& enough)
+    {
+        struct Gathering {
+            std::mutex mutex;
+            std::condition_variable changed;
+            std::size_t ended = 0;
+        };
+        auto gathering = std::make_shared<Gathering>();
+        std::vector<std::shared_ptr<PendingAnswer>> waiting;
+        std::vector<RequestId> ids;
+        for (const std::string& address : addresses) {
+            waiting.push_back(std::make_shared<PendingAnswer>(
+                address, isForward(request), this->settings.maxAnswerBytes, this->held));
+            waiting.back()->onEnd([gathering] {
+                std::lock_guard lock(gathering->mutex);
+                ++gathering->ended;
+                gathering->changed.notify_all();
+            });
+            ids.push_back(this->nextId());
+            std::string bytes = detail::encodeEnvelope({ ids.back(), false, request });
+            if (!this->submit(address, ids.back(), std::move(bytes), waiting.back(), purposeOf(request)))
+                waiting.back()->finish(PeerStatus::Rejected);
+        }
+        auto until = SteadyClock::now() + timeout;
+        std::vector<PeerResult> results(addresses.size());
+        std::vector<const PeerResult*> arrived(addresses.size(), nullptr);
+        std::size_t seen = 0;
+        for (;;) {
+            for (std::size_t i = 0; i < waiting.size(); ++i) {
+                if (arrived[i] != nullptr || !waiting[i]->isDone())
+                    continue;
+                results[i] = this->resultOf(*waiting[i], request);
+                arrived[i] = &results[i];
+                ++seen;
+            }
+            if (seen == waiting.size() || enough(arrived))
+                break;
+            std::unique_lock lock(gathering->mutex);
+            bool more = gathering->changed.wait_until(lock, until, [&] { return gathering->ended > seen; });
+            if (!more)
+                break;
+        }
+        this->endGathering(ids, arrived);
+        return results;
+    }
+
     void notify(const std::string& address, const PeerRequest& request)
     {
         RequestId id = this->nextId();
@@ -280,6 +334,30 @@
     std::string bound;
 
 private:
+    // Ends the waits of a gathering. A request without an answer yet is still sent and answered: its peer may hold
+    // the copy that is needed later.
+    void endGathering(const std::vector<RequestId>& ids, const std::vector<const PeerResult*>& arrived)
+    {
+        auto until = SteadyClock::now() + lingerTime;
+        std::lock_guard lock(this->mutex);
+        for (std::size_t i = 0; i < ids.size(); ++i) {
+            if (arrived[i] == nullptr)
+                this->lingering.emplace_back(until, ids[i].number);
+            else
+                this->pending.erase(ids[i].number);
+        }
+    }
+
+    void dropLingering(SteadyClock::time_point now)
+    {
+        std::lock_guard lock(this->mutex);
+        while (!this->lingering.empty() && this->lingering.front().first <= now) {
+            if (this->pending.erase(this->lingering.front().second) > 0)
+                this->unanswered.add();
+            this->lingering.pop_front();
+        }
+    }
+
     RequestId nextId() { return { this->session, this->nextNumber.fetch_add(1, std::memory_order_relaxed) }; }
 
     // False when a bound is reached or the transport has stopped; nothing is sent then.
@@ -689,6 +767,8 @@
     {
         if (isForward(request))
             return this->forwards;
+        if (std::holds_alternative<RecordCall>(request))
+            return this->records;
         bool bridgeRequest = std::holds_alternative<BridgeBatch>(request) || std::holds_alternative<BridgeTrim>(request)
             || std::holds_alternative<BridgeFetch>(request);
         return bridgeRequest ? this->bridge : this->control;
@@ -827,6 +907,7 @@
 
     void tick(SteadyClock::time_point now)
     {
+        this->dropLingering(now);
         if (this->stopping) {
             for (auto& [key, run] : this->served)
                 run->cancelled = true;
@@ -865,9 +946,10 @@
     std::atomic<std::uint64_t> nextNumber { 1 };
     PeerHandler* handler = nullptr;
 
-    std::mutex mutex; // guards `commands` and `pending`; locked before a PendingAnswer's own
+    std::mutex mutex; // guards `commands`, `pending` and `lingering`; locked before a PendingAnswer's own
     std::deque<Command> commands;
     std::unordered_map<std::uint64_t, std::shared_ptr<PendingAnswer>> pending;
+    std::deque<std::pair<SteadyClock::time_point, std::uint64_t>> lingering; // requests to drop from `pending`
     std::atomic<bool> stopping { false };
     std::atomic<bool> handlersStopped { false };
     std::atomic<std::size_t> queuedBytes { 0 }; // of requests that aren't handed to ZeroMQ yet
@@ -889,6 +971,7 @@
     WorkerPool control;
     WorkerPool bridge;
     WorkerPool forwards;
+    WorkerPool records;
     std::thread ioThread;
 
     Counter& malformed;
@@ -932,6 +1015,12 @@
     return this->impl->request(address, request, timeout, sink);
 }
 
+std::vector<PeerResult> ZmqPeers::requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
+    Duration timeout, const EnoughAnswers& enough)
+{
+    return this->impl->requestAll(addresses, request, timeout, enough);
+}
+
 void ZmqPeers::notify(const std::string& address, const PeerRequest& request)
 {
     this->impl->notify(address, request);
--- a/lovagecross/adapters/ZmqPeers.h
+++ b/lovagecross/adapters/ZmqPeers.h
@@ -8,8 +8,8 @@
 //     PeerResult result = peers.request("10.0.0.2:7102", ConfigFetch {}, std::chrono::seconds(1), {});
 //     peers.stop();
 //
-// One thread owns every socket. Requests of other nodes run on three groups of worker threads, so that none waits
-// behind another kind: promises, gossip and configuration; bridge batches; forwarded calls.
+// One thread owns every socket. Requests of other nodes run on four groups of worker threads, so that none waits
+// behind another kind: promises, gossip and configuration; bridge batches; records; forwarded calls.
 //
 // Every bound is in the settings. A request beyond a bound ends with Rejected, as does one whose peer could not be
 // reached before the timeout: it was never sent, so nothing was done.
@@ -43,6 +43,8 @@
     std::size_t maxQueuedForwards = 1024;
     std::size_t maxQueuedControl = 1024;
     std::size_t maxQueuedBridge = 64;
+    std::size_t maxRecordWorkers = 24; // each may wait for the disk
+    std::size_t maxQueuedRecords = 1024;
 };
 
 class ZmqPeers final : public PeerClient {
@@ -63,6 +65,8 @@
 
     PeerResult request(
         const std::string& address, const PeerRequest& request, Duration timeout, const ChunkSink& sink) override;
+    std::vector<PeerResult> requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
+        Duration timeout, const EnoughAnswers& enough) override;
     void notify(const std::string& address, const PeerRequest& request) override;
     void abandonForwards(const std::string& address) override;
 
--- a/lovagecross/base/Ids.cpp
+++ b/lovagecross/base/Ids.cpp
@@ -64,10 +64,10 @@
 
 bool isValidName(std::string_view name)
 {
-    if (name.empty() || name.size() > maxNameLength)
+    if (name.empty() || name.size() > maxNameLength || name.front() == '-' || name.back() == '-')
         return false;
     return std::all_of(name.begin(), name.end(), [](char character) {
-        return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
+        return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
     });
 }
 
--- a/lovagecross/base/Ids.h
+++ b/lovagecross/base/Ids.h
@@ -50,7 +50,8 @@
     bool empty() const { return this->node.empty(); }
 };
 
-// Data centre and node names: 1 to 32 characters of [a-z0-9], so that they can't break ids and object keys.
+// Data centre and node names: 1 to 32 characters of [a-z0-9-], a dash neither first nor last, so that they can't break
+// ids and object keys. A program id is split at its last two dashes.
 bool isValidName(std::string_view name);
 
 } // namespace lovagecross
--- /dev/null
+++ b/lovagecross/config/NodeSettings.h
@@ -0,0 +1,58 @@
+#pragma once
+
+// Settings of a node on a platform that keeps the registry and the operators' configuration: an entry node, which
+// passes calls through, or a record node, which holds kept turns and token budgets on its disk. A JSON file with the
+// member `mode`, checked as a whole at start and by `lovagecrossd --check-config`.
+//
+// Thread safety: plain values and free functions.
+
+#include "lovagecross/base/Error.h"
+#include "lovagecross/base/NameTable.h"
+#include "lovagecross/config/Settings.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagecross {
+
+enum class NodeMode {
+    Entry,
+    Records,
+};
+
+inline constexpr NameTable<NodeMode, 2> nodeModeNames { { {
+    { NodeMode::Entry, "entry" },
+    { NodeMode::Records, "records" },
+} } };
+
+struct NodeSettings {
+    NodeMode mode = NodeMode::Entry;
+    std::string node;
+    std::string dataCentre;
+    std::string callerAddress; // IP:port; required for an entry node
+    std::string readyAddress; // IP:port of readiness; required for an entry node
+    std::string readyPath; // path that answers 200 while the node takes calls
+    std::string metricsAddress; // IP:port; empty: none
+    std::string peerAddress; // IP:port
+    std::string platformAddress; // IP:port of the object API
+    std::vector<std::string> seeds; // peer addresses of other nodes
+    std::string dataFolder; // required for a record node
+    std::uint32_t diskMegabytes = 0;
+    std::uint32_t memoryMegabytes = 128; // the process may use
+    bool firstStart = false; // the whole system starts for the first time, with empty disks
+    std::uint32_t lossMachines = 1; // record nodes that may be lost at once
+    std::uint32_t lossDataCentres = 1;
+    std::uint64_t graceMillis = 8000; // from SIGTERM until the process is killed
+    LogLevel logLevel = LogLevel::Info;
+};
+
+// Whether the document is for a node of this kind: an object with the member `mode`.
+bool isNodeSettings(std::string_view json);
+
+// Errors: BadRequest with the field's path and the limit.
+Result<NodeSettings> parseNodeSettings(std::string_view json);
+std::string printNodeSettings(const NodeSettings& settings);
+
+} // namespace lovagecross
--- a/lovagecross/config/SettingsTest.cpp
+++ b/lovagecross/config/SettingsTest.cpp
@@ -102,7 +102,7 @@
             { with(R"("horizonMillis":11999)"), "horizonMillis", "which is 12000" },
             { with(R"("maxBodyBytes":1048576)"), "maxBodyBytes", "from 1024 to 786432" },
             { replaced("\"node\":\"entry1\",", ""), "node", "is missing; must be 1 to 32" },
-            { replaced("entry1", "Entry-1"), "node", "[a-z0-9]" },
+            { replaced("entry1", "Entry-1"), "node", "[a-z0-9-]" },
             { replaced("10.0.0.9:7000", "platform:7000"), "platformAddress", "an IP address and a port" },
             { replaced("10.0.0.9:7000", "10.0.0.9"), "platformAddress", "an IP address and a port" },
             { replaced("10.0.0.9:7000", "10.0.0.9:0"), "platformAddress", "from 1 to 65535" },
--- a/lovagecross/config/TextRules.cpp
+++ b/lovagecross/config/TextRules.cpp
@@ -61,7 +61,7 @@
 
 } // namespace
 
-const TextRule idRule { "1 to 32 characters of [a-z0-9]", isValidName };
+const TextRule idRule { "1 to 32 characters of [a-z0-9-], no dash at the ends", isValidName };
 const TextRule nameRule { "1 to 64 characters of [A-Za-z0-9._-], the first a letter or digit", isName };
 const TextRule optionalNameRule { "empty or 1 to 64 characters of [A-Za-z0-9._-], the first a letter or digit",
     isOptionalName };
--- a/lovagecross/daemon/LovagecrossdMain.cpp
+++ b/lovagecross/daemon/LovagecrossdMain.cpp
@@ -10,6 +10,7 @@
 #include "lovagecross/daemon/AdminApi.h"
 #include "lovagecross/daemon/CallerApi.h"
 #include "lovagecross/daemon/HttpServer.h"
+#include "lovagecross/daemon/PlatformNode.h"
 #include "lovagecross/daemon/Version.h"
 #include "lovagecross/runtime/CountingObjectStore.h"
 #include "lovagecross/runtime/Node.h"
@@ -46,22 +47,20 @@
     return text.str();
 }
 
-std::optional<Settings> loadSettings(const std::string& path)
+// Parses the settings file and prints what is wrong with it.
+template <typename SettingsType>
+std::optional<SettingsType> loadSettings(
+    const std::string& path, const std::string& text, Result<SettingsType> (*parse)(std::string_view))
 {
-    std::optional<std::string> text = readFile(path);
-    if (!text) {
-        std::cerr << "can't read " << path << " (at most " << maxSettingsBytes << " bytes)\n";
-        return std::nullopt;
-    }
     return handle(
-        [&]() -> Result<std::optional<Settings>> {
-            BOOST_LEAF_AUTO(settings, parseSettings(*text));
-            return std::optional<Settings>(settings);
+        [&]() -> Result<std::optional<SettingsType>> {
+            BOOST_LEAF_AUTO(settings, parse(text));
+            return std::optional<SettingsType>(settings);
         },
         [&](const Error& error) {
             std::cerr << path << ": " << (error.field.empty() ? "settings" : error.field) << ": " << error.message
                       << '\n';
-            return std::optional<Settings>();
+            return std::optional<SettingsType>();
         });
 }
 
@@ -151,6 +150,12 @@
     return 0;
 }
 
+int reportValid()
+{
+    std::cout << "settings are valid\n";
+    return 0;
+}
+
 int parseAndRun(int argc, char** argv)
 {
     cxxopts::Options options("lovagecrossd", "Scheduler for agent programs: the daemon of one node.");
@@ -169,14 +174,19 @@
         std::cerr << "usage: lovagecrossd --config FILE\n";
         return exitSettings;
     }
-    std::optional<Settings> settings = loadSettings(arguments["config"].as<std::string>());
-    if (!settings)
+    auto path = arguments["config"].as<std::string>();
+    std::optional<std::string> text = readFile(path);
+    if (!text) {
+        std::cerr << "can't read " << path << " (at most " << maxSettingsBytes << " bytes)\n";
         return exitSettings;
-    if (arguments.count("check-config") > 0) {
-        std::cout << "settings are valid\n";
-        return 0;
     }
-    return run(*settings);
+    bool checkOnly = arguments.count("check-config") > 0;
+    if (isNodeSettings(*text)) {
+        std::optional<NodeSettings> settings = loadSettings(path, *text, parseNodeSettings);
+        return settings ? (checkOnly ? reportValid() : runPlatformNode(*settings)) : exitSettings;
+    }
+    std::optional<Settings> settings = loadSettings(path, *text, parseSettings);
+    return settings ? (checkOnly ? reportValid() : run(*settings)) : exitSettings;
 }
 
 } // namespace
--- /dev/null
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -0,0 +1,354 @@
+#include "lovagecross/daemon/PlatformNode.h"
+
+#include "lovagecross/adapters/Counters.h"
+#include "lovagecross/adapters/Log.h"
+#include "lovagecross/adapters/ZmqPeers.h"
+#include "lovagecross/daemon/HttpServer.h"
+#include "lovagecross/daemon/Signals.h"
+#include "lovagecross/daemon/Version.h"
+#include "lovagecross/gateway/Gateway.h"
+#include "lovagecross/records/RecordClient.h"
+#include "lovagecross/records/RecordNode.h"
+#include "platform/Feeds.h"
+#include "platform/HeaderCodec.h"
+#include "platform/ObjectApi.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <set>
+#include <thread>
+
+namespace lovagecross {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int exitStart = 3;
+constexpr Duration connectTimeout = milliseconds(400); // of a backend server in the same region
+constexpr Duration balancerNotice = milliseconds(2600); // two missed readiness checks, one a second, and their way
+constexpr Duration lastWords = milliseconds(500); // of the grace, to close down after the last call
+constexpr Duration housekeepingInterval = std::chrono::seconds(1);
+constexpr int statusListenerThreads = 4;
+constexpr std::size_t connectionsPerMegabyte = 6;
+constexpr std::size_t leastConnections = 128;
+constexpr std::size_t mostConnections = 2000;
+constexpr std::size_t cacheShareOfMemory = 8;
+
+Tolerance toleranceOf(const NodeSettings& settings)
+{
+    return { settings.lossMachines, settings.lossDataCentres };
+}
+
+ZmqPeersSettings peerSettings(const NodeSettings& settings)
+{
+    ZmqPeersSettings peers;
+    peers.bindAddress = settings.peerAddress;
+    peers.maxQueuedBytes = std::size_t(settings.memoryMegabytes) * 1024 * 1024 / 8;
+    peers.maxQueuedBytesPerPeer = peers.maxQueuedBytes / 2;
+    peers.heartbeatInterval = milliseconds(500);
+    return peers;
+}
+
+std::string printCounters(const Counters& counters)
+{
+    std::string text;
+    for (const auto& [name, value] : counters.snapshot())
+        text += name + ' ' + std::to_string(value) + '\n';
+    return text;
+}
+
+void sendText(Poco::Net::HTTPServerResponse& response, int status, const std::string& text)
+{
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
+    response.setContentType("text/plain");
+    response.setContentLength(static_cast<std::streamsize>(text.size()));
+    response.send() << text;
+}
+
+// Serves the counters of one process, and its readiness where the node has one.
+class StatusListener {
+public:
+    StatusListener(const std::string& address, const Counters& counters, std::string readyPath,
+        std::function<std::string()> notReadyReason)
+        : listener(address, statusListenerThreads,
+            [&counters, path = std::move(readyPath), reason = std::move(notReadyReason)](
+                auto& request, auto& response) {
+                if (!path.empty() && request.getURI() == path) {
+                    std::string why = reason();
+                    sendText(response, why.empty() ? 200 : 503, why.empty() ? "ready\n" : why + '\n');
+                } else if (request.getURI() == "/metrics") {
+                    sendText(response, 200, printCounters(counters));
+                } else {
+                    sendText(response, 404, "unknown path\n");
+                }
+            })
+    {
+        this->listener.start();
+    }
+
+    void stop() { this->listener.stop(milliseconds(100)); }
+
+private:
+    HttpListener listener;
+};
+
+// Answers the record messages that reach a node.
+class RecordMessageHandler final : public PeerHandler {
+public:
+    explicit RecordMessageHandler(std::function<RecordResponse(const RecordRequest&)> answer)
+        : respond(std::move(answer))
+    {
+    }
+
+    PeerAnswer handlePeerRequest(const PeerRequest& request, const ChunkSink&) override
+    {
+        const auto* call = std::get_if<RecordCall>(&request);
+        auto message = call != nullptr ? decodeRecordRequest(call->content) : std::nullopt;
+        if (!message)
+            return std::monostate {};
+        return RecordReply { encodeRecordResponse(this->respond(*message)) };
+    }
+
+private:
+    std::function<RecordResponse(const RecordRequest&)> respond;
+};
+
+// What both kinds of node have.
+struct NodeBase {
+    explicit NodeBase(const NodeSettings& given)
+        : settings(given)
+        , api({ .address = given.platformAddress }, this->clock, this->counters)
+        , peers(peerSettings(given), this->counters)
+        , recordParts { this->clock, this->api, this->peers, this->counters }
+    {
+    }
+
+    const NodeSettings& settings;
+    SystemClock clock;
+    Counters counters;
+    platform::ObjectApi api;
+    ZmqPeers peers;
+    RecordNodeParts recordParts;
+};
+
+class EntryNode {
+public:
+    explicit EntryNode(const NodeSettings& settings)
+        : base(settings)
+        , records(this->clientSettings(), this->base.recordParts)
+        , directory(this->base.clock)
+        , book(this->base.clock, settings.dataCentre)
+        , pool(this->base.clock, connectTimeout)
+        , parts { this->base.clock, this->directory, this->book, this->pool, this->codec, this->records, this->records,
+            GatewayCounters(this->base.counters) }
+        , gateway({ settings.callerAddress, maxConnections(settings) }, this->parts)
+        , feed(this->base.api, this->directory, this->base.clock)
+        , messages([this](const RecordRequest& request) { return this->answer(request); })
+    {
+    }
+
+    std::string start()
+    {
+        if (std::string problem = this->base.peers.start(this->messages); !problem.empty())
+            return problem;
+        this->directory.onChange([this](const DirectoryView& view) { this->serversChanged(view); });
+        this->records.start();
+        this->feed.start();
+        this->gateway.start();
+        const NodeSettings& settings = this->base.settings;
+        this->ready = std::make_unique<StatusListener>(
+            settings.readyAddress, this->base.counters, settings.readyPath, [this] { return this->notReadyReason(); });
+        if (!settings.metricsAddress.empty())
+            this->metrics = std::make_unique<StatusListener>(
+                settings.metricsAddress, this->base.counters, std::string(), [] { return std::string(); });
+        this->housekeeping.add([this] { return this->keepHouse(); });
+        return {};
+    }
+
+    // Answers what was read before the process ends: first the balancer notices, then the listener closes.
+    void stop()
+    {
+        TimePoint end = this->base.clock.now() + milliseconds(this->base.settings.graceMillis) - lastWords;
+        this->gateway.drain();
+        std::this_thread::sleep_for(balancerNotice);
+        this->gateway.stop(end - this->base.clock.now());
+        this->ready->stop();
+        if (this->metrics)
+            this->metrics->stop();
+    }
+
+private:
+    RecordClientSettings clientSettings() const
+    {
+        RecordClientSettings client;
+        client.dataCentre = this->base.settings.dataCentre;
+        client.tolerance = toleranceOf(this->base.settings);
+        client.seeds = this->base.settings.seeds;
+        client.cacheBytes = std::size_t(this->base.settings.memoryMegabytes) * 1024 * 1024 / cacheShareOfMemory;
+        return client;
+    }
+
+    static int maxConnections(const NodeSettings& settings)
+    {
+        return static_cast<int>(
+            std::clamp(settings.memoryMegabytes * connectionsPerMegabyte, leastConnections, mostConnections));
+    }
+
+    // Empty while the node takes calls.
+    std::string notReadyReason() const
+    {
+        auto view = this->directory.view();
+        if (this->parts.draining)
+            return "stopping";
+        if (!view->configuration)
+            return "no configuration is known";
+        if (!view->registryKnown)
+            return "the registry is not known";
+        return {};
+    }
+
+    RecordResponse answer(const RecordRequest& request) const
+    {
+        RecordResponse response;
+        if (!std::holds_alternative<InspectRequest>(request))
+            return response; // NotReady: this node holds no records
+        response.status = RecordStatus::Ok;
+        Roster roster = this->records.roster();
+        if (roster.epoch > 0)
+            response.roster = std::move(roster);
+        return response;
+    }
+
+    void serversChanged(const DirectoryView& view)
+    {
+        std::set<std::string> ids;
+        for (const auto& [service, servers] : view.servers) {
+            for (const ServerEntry& server : servers)
+                ids.insert(server.id);
+        }
+        this->book.retain(ids);
+    }
+
+    Duration keepHouse()
+    {
+        std::vector<std::string> ids;
+        auto view = this->directory.view();
+        for (const auto& [service, servers] : view->servers) {
+            for (const ServerEntry& server : servers)
+                ids.push_back(server.id);
+        }
+        this->pool.prune(ids);
+        return housekeepingInterval;
+    }
+
+    NodeBase base;
+    RecordClient records;
+    Directory directory;
+    ServerBook book;
+    ConnectionPool pool;
+    platform::HeaderCodec codec;
+    GatewayParts parts;
+    Gateway gateway;
+    platform::DirectoryFeed feed;
+    RecordMessageHandler messages;
+    std::unique_ptr<StatusListener> ready;
+    std::unique_ptr<StatusListener> metrics;
+    platform::StepThreads housekeeping;
+};
+
+class StorageNode {
+public:
+    explicit StorageNode(const NodeSettings& settings)
+        : base(settings)
+        , records(nodeSettings(settings), this->base.recordParts)
+        , retirements(this->base.api, this->records, settings.node)
+        , messages([this](const RecordRequest& request) { return this->records.handle(request); })
+    {
+    }
+
+    std::string start()
+    {
+        if (std::string problem = this->records.load(); !problem.empty())
+            return problem;
+        if (std::string problem = this->base.peers.start(this->messages); !problem.empty())
+            return problem;
+        this->records.start();
+        this->retirements.start();
+        if (!this->base.settings.metricsAddress.empty())
+            this->metrics = std::make_unique<StatusListener>(
+                this->base.settings.metricsAddress, this->base.counters, std::string(), [] { return std::string(); });
+        return {};
+    }
+
+    void stop()
+    {
+        this->retirements.stop();
+        this->base.peers.stop();
+        this->records.stop();
+    }
+
+private:
+    static RecordNodeSettings nodeSettings(const NodeSettings& settings)
+    {
+        RecordNodeSettings node;
+        node.node = settings.node;
+        node.address = settings.peerAddress;
+        node.dataCentre = settings.dataCentre;
+        node.dataFolder = settings.dataFolder;
+        node.diskBytes = std::size_t(settings.diskMegabytes) * 1024 * 1024;
+        node.firstStart = settings.firstStart;
+        node.tolerance = toleranceOf(settings);
+        return node;
+    }
+
+    NodeBase base;
+    RecordNode records;
+    platform::RetirementFeed retirements;
+    RecordMessageHandler messages;
+    std::unique_ptr<StatusListener> metrics;
+};
+
+template <typename NodeType> int runUntilSignal(const NodeSettings& settings)
+{
+    Signals signals;
+    auto node = std::make_unique<NodeType>(settings);
+    if (std::string problem = node->start(); !problem.empty()) {
+        LogLine(LogLevel::Error, "can't start").field("why", problem).write();
+        flushLog();
+        return exitStart;
+    }
+    LogLine(LogLevel::Info, "started")
+        .field("node", settings.node)
+        .field("mode", nodeModeNames.name(settings.mode))
+        .field("dataCentre", settings.dataCentre)
+        .field("firstStart", settings.firstStart)
+        .field("version", versionText)
+        .write();
+    int signal = 0;
+    while ((signal = signals.wait()) == SIGHUP)
+        LogLine(LogLevel::Info, "reload").field("node", settings.node).write();
+    LogLine(LogLevel::Info, "stopping").field("signal", signal).write();
+    node->stop();
+    LogLine(LogLevel::Info, "stopped").field("node", settings.node).write();
+    flushLog();
+    // Threads of calls that outlived the grace still use the node: it is not destroyed.
+    std::_Exit(0);
+}
+
+} // namespace
+
+int runPlatformNode(const NodeSettings& settings)
+{
+    setUpLogging(settings.logLevel, LogFormat::Json, LogTarget::StandardOutput);
+    return settings.mode == NodeMode::Entry ? runUntilSignal<EntryNode>(settings)
+                                            : runUntilSignal<StorageNode>(settings);
+}
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/gateway/ConnectionPool.cpp
@@ -0,0 +1,102 @@
+#include "lovagecross/gateway/ConnectionPool.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <utility>
+
+namespace lovagecross {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t maxIdlePerServer = 16;
+constexpr Duration freshFor = milliseconds(700); // shorter than the idle timeouts of the servers
+
+} // namespace
+
+ConnectionPool::ConnectionPool(const Clock& clock, Duration connectionTimeout)
+    : clock(clock)
+    , connectTimeout(connectionTimeout)
+{
+}
+
+PooledConnection ConnectionPool::open(const ServerEntry& server, Reuse reuse, TimePoint deadline)
+{
+    PooledConnection connection;
+    connection.stream = this->takeIdle(server.id, reuse);
+    connection.reused = connection.stream != nullptr;
+    if (connection.stream)
+        return connection;
+    try {
+        Poco::Net::SocketAddress address(server.address);
+        ConnectResult result
+            = connectTo(address, std::min(deadline, this->clock.now() + this->connectTimeout), this->clock);
+        connection.failure = result.status;
+        if (result.status == IoStatus::Ok)
+            connection.stream = std::make_unique<ByteStream>(result.socket);
+    } catch (const Poco::Exception&) { // a malformed address, or no descriptor is left
+        connection.failure = IoStatus::Failed;
+    }
+    std::lock_guard lock(this->mutex);
+    ++this->openedCount;
+    return connection;
+}
+
+void ConnectionPool::keep(const ServerEntry& server, std::unique_ptr<ByteStream> stream, Duration keepFor)
+{
+    TimePoint now = this->clock.now();
+    std::unique_ptr<ByteStream> dropped; // closed outside the lock
+    std::lock_guard lock(this->mutex);
+    std::vector<Idle>& list = this->idle[server.id];
+    if (list.size() >= maxIdlePerServer) {
+        dropped = std::move(list.front().stream);
+        list.erase(list.begin());
+    }
+    list.push_back({ std::move(stream), now, now + keepFor });
+}
+
+void ConnectionPool::prune(const std::vector<std::string>& serverIds)
+{
+    std::vector<Idle> dropped;
+    std::lock_guard lock(this->mutex);
+    TimePoint now = this->clock.now();
+    for (auto it = this->idle.begin(); it != this->idle.end();) {
+        bool listed = std::find(serverIds.begin(), serverIds.end(), it->first) != serverIds.end();
+        std::vector<Idle> kept;
+        for (Idle& entry : it->second)
+            (listed && now < entry.until ? kept : dropped).push_back(std::move(entry));
+        it->second = std::move(kept);
+        it = it->second.empty() ? this->idle.erase(it) : std::next(it);
+    }
+}
+
+std::uint64_t ConnectionPool::opened() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->openedCount;
+}
+
+std::unique_ptr<ByteStream> ConnectionPool::takeIdle(const std::string& serverId, Reuse reuse)
+{
+    if (reuse == Reuse::No)
+        return nullptr;
+    std::vector<Idle> dropped;
+    std::lock_guard lock(this->mutex);
+    auto found = this->idle.find(serverId);
+    if (found == this->idle.end())
+        return nullptr;
+    TimePoint now = this->clock.now();
+    std::vector<Idle>& list = found->second;
+    while (!list.empty()) {
+        Idle entry = std::move(list.back());
+        list.pop_back();
+        bool fresh = reuse == Reuse::Any || now - entry.since < freshFor;
+        if (fresh && now < entry.until && entry.stream->quiet())
+            return std::move(entry.stream);
+        dropped.push_back(std::move(entry));
+    }
+    return nullptr;
+}
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/gateway/Directory.cpp
@@ -0,0 +1,163 @@
+#include "lovagecross/gateway/Directory.h"
+
+#include <set>
+#include <utility>
+
+namespace lovagecross {
+
+const std::vector<ServerEntry>& DirectoryView::serversOf(std::string_view service) const
+{
+    static const std::vector<ServerEntry> none;
+    auto found = this->servers.find(service);
+    return found == this->servers.end() ? none : found->second;
+}
+
+Directory::Directory(const Clock& clock)
+    : clock(clock)
+    , current(std::make_shared<DirectoryView>())
+{
+}
+
+std::shared_ptr<const DirectoryView> Directory::view() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->current;
+}
+
+bool Directory::applyConfiguration(GatewayConfiguration next)
+{
+    std::unique_lock lock(this->mutex);
+    if (this->configuration && next.version <= this->configuration->version)
+        return false;
+    auto stored = std::make_shared<const GatewayConfiguration>(std::move(next));
+    // The table refers to the routes of this configuration and keeps it alive.
+    this->routes = std::shared_ptr<const RouteTable>(
+        new RouteTable(stored->routes), [stored](const RouteTable* table) { delete table; });
+    this->configuration = std::move(stored);
+    this->publish(lock);
+    return true;
+}
+
+void Directory::replaceServers(std::vector<ServerEntry> list, std::uint64_t newRevision)
+{
+    std::unique_lock lock(this->mutex);
+    TimePoint now = this->clock.now();
+    if (newRevision < this->revision)
+        return;
+    this->registryReached(now);
+    this->revision = newRevision;
+    std::set<std::string> listed;
+    for (ServerEntry& entry : list) {
+        listed.insert(entry.id);
+        this->lapsed.erase(entry.id);
+        this->servers[entry.id] = std::move(entry);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, entry] : this->servers) {
+        if (listed.count(id) == 0)
+            missing.push_back(id);
+    }
+    for (const std::string& id : missing)
+        this->removeServer(id, now);
+    this->publish(lock);
+}
+
+void Directory::changeServers(const std::vector<ServerChange>& changes, std::uint64_t newRevision)
+{
+    std::unique_lock lock(this->mutex);
+    TimePoint now = this->clock.now();
+    if (newRevision < this->revision)
+        return;
+    this->registryReached(now);
+    this->revision = newRevision;
+    for (const ServerChange& change : changes) {
+        if (change.entry) {
+            this->lapsed.erase(change.id);
+            this->servers[change.id] = *change.entry;
+        } else if (this->servers.count(change.id) > 0) {
+            this->removeServer(change.id, now);
+        }
+    }
+    if (!changes.empty())
+        this->publish(lock);
+}
+
+void Directory::registryUnreachable()
+{
+    std::lock_guard lock(this->mutex);
+    this->unreachable = true;
+}
+
+void Directory::expireLapsed()
+{
+    std::unique_lock lock(this->mutex);
+    TimePoint now = this->clock.now();
+    bool changed = false;
+    for (auto it = this->lapsed.begin(); it != this->lapsed.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        this->servers.erase(it->first);
+        it = this->lapsed.erase(it);
+        changed = true;
+    }
+    if (changed)
+        this->publish(lock);
+}
+
+Duration Directory::registryAge() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->known ? this->clock.now() - this->lastRead : Duration::max();
+}
+
+void Directory::onChange(std::function<void(const DirectoryView&)> newListener)
+{
+    std::lock_guard lock(this->mutex);
+    this->listener = std::move(newListener);
+}
+
+void Directory::registryReached(TimePoint now)
+{
+    if (this->unreachable && this->known)
+        this->removalsWaitUntil = now + lapsedGrace;
+    this->unreachable = false;
+    this->known = true;
+    this->lastRead = now;
+}
+
+bool Directory::removalsWait(TimePoint now) const
+{
+    return now < this->removalsWaitUntil;
+}
+
+void Directory::removeServer(const std::string& id, TimePoint now)
+{
+    // A server that was leaving is not waited for.
+    bool wasReady = this->servers.at(id).state == ServerState::Ready;
+    if (wasReady && this->removalsWait(now)) {
+        this->lapsed.emplace(id, this->removalsWaitUntil);
+        return;
+    }
+    this->lapsed.erase(id);
+    this->servers.erase(id);
+}
+
+void Directory::publish(std::unique_lock<std::mutex>& lock)
+{
+    auto view = std::make_shared<DirectoryView>();
+    view->configuration = this->configuration;
+    view->routes = this->routes;
+    view->registryRevision = this->revision;
+    view->registryKnown = this->known;
+    for (const auto& [id, entry] : this->servers)
+        view->servers[entry.service].push_back(entry);
+    this->current = view;
+    auto notify = this->listener;
+    lock.unlock();
+    if (notify)
+        notify(*view);
+}
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/gateway/EventStream.cpp
@@ -0,0 +1,55 @@
+#include "lovagecross/gateway/EventStream.h"
+
+#include "lovagecross/http/MessageHead.h"
+
+#include <algorithm>
+
+namespace lovagecross {
+
+namespace {
+
+// The value after the colon, without one leading space.
+std::string_view fieldValue(std::string_view line, std::size_t nameLength)
+{
+    std::string_view value = line.substr(nameLength + 1);
+    if (!value.empty() && value.front() == ' ')
+        value.remove_prefix(1);
+    return value;
+}
+
+void takeLine(StreamEvent& event, std::string_view line)
+{
+    if (!line.empty() && line.back() == '\r')
+        line.remove_suffix(1);
+    if (line.rfind("id:", 0) == 0)
+        event.id = parseUnsigned(fieldValue(line, 2));
+    if (line.rfind("data:", 0) != 0)
+        return;
+    if (event.hasData)
+        event.data += '\n';
+    event.data += fieldValue(line, 4);
+    event.hasData = true;
+}
+
+} // namespace
+
+std::optional<StreamEvent> EventSplitter::next()
+{
+    std::size_t unixEnd = this->rest.find("\n\n");
+    std::size_t dosEnd = this->rest.find("\n\r\n");
+    std::size_t end = std::min(unixEnd, dosEnd);
+    if (end == std::string::npos)
+        return std::nullopt;
+    StreamEvent event;
+    event.bytes = this->rest.substr(0, end + (unixEnd <= dosEnd ? 2 : 3));
+    this->rest.erase(0, event.bytes.size());
+    std::string_view lines = event.bytes;
+    while (!lines.empty()) {
+        std::size_t lineEnd = lines.find('\n');
+        takeLine(event, lines.substr(0, lineEnd));
+        lines = lineEnd == std::string_view::npos ? std::string_view() : lines.substr(lineEnd + 1);
+    }
+    return event;
+}
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/http/ByteStream.cpp
@@ -0,0 +1,148 @@
+#include "lovagecross/http/ByteStream.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace lovagecross {
+
+namespace {
+
+constexpr std::size_t receiveBytes = 16 * 1024;
+constexpr std::int64_t longestPollMillis = 60'000;
+
+// Milliseconds until the deadline, rounded up so that a wait does not end just before it.
+int millisUntil(TimePoint deadline, const Clock& clock)
+{
+    Duration left = deadline - clock.now();
+    if (left <= Duration(0))
+        return 0;
+    return static_cast<int>(std::min(toMillis(left) + 1, longestPollMillis));
+}
+
+bool waitFor(int fd, short events, TimePoint deadline, const Clock& clock)
+{
+    for (;;) {
+        pollfd item { fd, events, 0 };
+        int wait = millisUntil(deadline, clock);
+        int count = ::poll(&item, 1, wait);
+        if (count > 0)
+            return true;
+        if (count == 0 && clock.now() >= deadline)
+            return false;
+        if (count < 0 && errno != EINTR)
+            return true; // the following read or write reports the error
+    }
+}
+
+} // namespace
+
+ByteStream::ByteStream(Poco::Net::StreamSocket connected)
+    : socket(std::move(connected))
+    , fd(this->socket.impl()->sockfd())
+{
+    this->socket.setBlocking(false);
+    this->socket.setNoDelay(true);
+}
+
+IoStatus ByteStream::receive()
+{
+    std::array<char, receiveBytes> bytes;
+    ssize_t count = ::recv(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count > 0) {
+        this->buffered.append(bytes.data(), static_cast<std::size_t>(count));
+        return IoStatus::Ok;
+    }
+    if (count == 0)
+        return IoStatus::Closed;
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoStatus::Ok : IoStatus::Failed;
+}
+
+IoStatus ByteStream::sendSome(std::string_view bytes, std::size_t& sent)
+{
+    sent = 0;
+    ssize_t count = ::send(this->fd, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (count >= 0) {
+        sent = static_cast<std::size_t>(count);
+        return IoStatus::Ok;
+    }
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? IoStatus::Ok : IoStatus::Failed;
+}
+
+IoStatus ByteStream::send(std::string_view bytes, TimePoint deadline, const Clock& clock)
+{
+    while (!bytes.empty()) {
+        std::size_t sent = 0;
+        if (this->sendSome(bytes, sent) != IoStatus::Ok)
+            return IoStatus::Failed;
+        bytes.remove_prefix(sent);
+        if (!bytes.empty() && sent == 0 && !waitFor(this->fd, POLLOUT, deadline, clock))
+            return IoStatus::TimedOut;
+    }
+    return IoStatus::Ok;
+}
+
+bool ByteStream::peerGone() const
+{
+    char byte = 0;
+    ssize_t count = ::recv(this->fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+bool ByteStream::quiet() const
+{
+    char byte = 0;
+    ssize_t count = ::recv(this->fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+    return this->buffered.empty() && count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void ByteStream::shutdown()
+{
+    ::shutdown(this->fd, SHUT_RDWR);
+}
+
+ConnectResult connectTo(const Poco::Net::SocketAddress& address, TimePoint deadline, const Clock& clock)
+{
+    ConnectResult result;
+    try {
+        result.socket.connectNB(address);
+    } catch (const Poco::Exception&) {
+        return result; // refused, or no descriptor is left
+    }
+    int fd = result.socket.impl()->sockfd();
+    if (!waitFor(fd, POLLOUT, deadline, clock)) {
+        result.status = IoStatus::TimedOut;
+        return result;
+    }
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0)
+        result.status = IoStatus::Ok;
+    return result;
+}
+
+IoStatus waitReadable(const ByteStream& stream, TimePoint deadline, const Clock& clock)
+{
+    return waitFor(stream.descriptor(), POLLIN, deadline, clock) ? IoStatus::Ok : IoStatus::TimedOut;
+}
+
+PairEvent waitEither(
+    const ByteStream& first, const ByteStream& second, bool watchSecond, TimePoint deadline, const Clock& clock)
+{
+    for (;;) {
+        std::array<pollfd, 2> items { { { first.descriptor(), POLLIN, 0 }, { second.descriptor(), POLLIN, 0 } } };
+        int count = ::poll(items.data(), watchSecond ? 2 : 1, millisUntil(deadline, clock));
+        if (count > 0)
+            return items[0].revents != 0 ? PairEvent::First : PairEvent::Second;
+        if (count == 0 && clock.now() >= deadline)
+            return PairEvent::TimedOut;
+        if (count < 0 && errno != EINTR)
+            return PairEvent::First; // the following read reports the error
+    }
+}
+
+} // namespace lovagecross
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -123,10 +123,19 @@
     std::string bodyJson;
 };
 
-using PeerRequest
-    = std::variant<PromiseRequest, BridgeBatch, BridgeTrim, BridgeFetch, Gossip, ConfigFetch, ForwardRequest>;
-using PeerAnswer
-    = std::variant<std::monostate, PromiseAnswer, BridgeAnswer, BridgeCopies, Gossip, ConfigDocument, ForwardEnd>;
+// A message of the record store (lovagecross/records/RecordMessages.h), which encodes its own content.
+struct RecordCall {
+    std::string content;
+};
+
+struct RecordReply {
+    std::string content;
+};
+
+using PeerRequest = std::variant<PromiseRequest, BridgeBatch, BridgeTrim, BridgeFetch, Gossip, ConfigFetch,
+    ForwardRequest, RecordCall>;
+using PeerAnswer = std::variant<std::monostate, PromiseAnswer, BridgeAnswer, BridgeCopies, Gossip, ConfigDocument,
+    ForwardEnd, RecordReply>;
 
 enum class PeerStatus {
     Ok,
@@ -139,6 +148,10 @@
     PeerAnswer answer;
 };
 
+// Looks at the answers that have arrived, in the order of the addresses; an address without an answer yet has nullptr.
+// Returning true ends the wait.
+using EnoughAnswers = std::function<bool(const std::vector<const PeerResult*>& answers)>;
+
 // Receives streamed text. Returning false cancels the request at the peer.
 using ChunkSink = std::function<bool(std::string_view text)>;
 
@@ -152,6 +165,12 @@
         const std::string& address, const PeerRequest& request, Duration timeout, const ChunkSink& sink)
         = 0;
 
+    // Sends one request to several peers at once and waits until `enough` is satisfied, all have answered, or the
+    // timeout has passed. The results are in the order of the addresses.
+    virtual std::vector<PeerResult> requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
+        Duration timeout, const EnoughAnswers& enough)
+        = 0;
+
     // Sends without waiting for an answer.
     virtual void notify(const std::string& address, const PeerRequest& request) = 0;
 
--- /dev/null
+++ b/lovagecross/records/RecordClient.cpp
@@ -0,0 +1,460 @@
+#include "lovagecross/records/RecordClient.h"
+
+#include "lovagecross/adapters/Log.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <algorithm>
+#include <functional>
+#include <sstream>
+#include <utility>
+
+namespace lovagecross {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration rosterInterval = std::chrono::seconds(3);
+constexpr Duration rosterRetryInterval = milliseconds(300); // while none is known
+constexpr Duration inspectTimeout = milliseconds(500);
+constexpr Duration voteTimeout = milliseconds(400); // of one round
+constexpr Duration shortVoteTimeout = milliseconds(120); // while no majority has answered lately
+constexpr Duration longestReserve = milliseconds(1200);
+constexpr Duration storeTimeout = milliseconds(300); // before the platform is asked to keep the turn
+constexpr Duration longestKeep = milliseconds(2500);
+constexpr Duration nearReadTimeout = milliseconds(120);
+constexpr Duration readTimeout = milliseconds(500);
+constexpr Duration retryPause = milliseconds(20);
+constexpr Duration missMemory = milliseconds(1500);
+constexpr std::size_t maxChainTurns = 4096;
+constexpr std::string_view keptTurnPrefix = "kept-turns/";
+
+// A record outlives its retention by this much: clocks differ, and a turn that is being continued must not vanish.
+constexpr std::int64_t expiryMarginMillis = 60'000;
+
+std::int64_t expiryOf(Duration retention, const Clock& clock)
+{
+    return clock.unixMillis() + 2 * toMillis(retention) + expiryMarginMillis;
+}
+
+std::string objectKeyOf(const std::string& turnId)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string key(keptTurnPrefix);
+    for (char character : turnId) {
+        auto byte = static_cast<unsigned char>(character);
+        key += digits[byte >> 4U];
+        key += digits[byte & 15U];
+    }
+    return key;
+}
+
+std::string encodeBase64(const std::string& bytes)
+{
+    std::ostringstream text;
+    Poco::Base64Encoder encoder(text);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return text.str();
+}
+
+std::string decodeBase64(const std::string& text)
+{
+    std::istringstream input(text);
+    Poco::Base64Decoder decoder(input);
+    std::ostringstream bytes;
+    bytes << decoder.rdbuf();
+    return bytes.str();
+}
+
+} // namespace
+
+RecordClient::RecordClient(RecordClientSettings clientSettings, RecordNodeParts clientParts)
+    : settings(std::move(clientSettings))
+    , parts(clientParts)
+    , cache(this->settings.cacheBytes)
+    , platformCopies(clientParts.counters.counter("records.platformCopies"))
+{
+}
+
+RecordClient::~RecordClient()
+{
+    this->stop();
+}
+
+void RecordClient::start()
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void RecordClient::stop()
+{
+    {
+        std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+Roster RecordClient::roster() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->current;
+}
+
+bool RecordClient::reachable() const
+{
+    std::lock_guard lock(this->mutex);
+    if (this->current.epoch == 0)
+        return false;
+    return this->lastMissed <= this->lastReached || this->parts.clock.now() - this->lastMissed > missMemory;
+}
+
+// --- Roster
+
+void RecordClient::run()
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->stopping) {
+        lock.unlock();
+        this->followRoster();
+        lock.lock();
+        Duration pause = this->current.epoch == 0 ? rosterRetryInterval : rosterInterval;
+        this->wake.wait_for(lock, pause, [this] { return this->stopping; });
+    }
+}
+
+// Reads the roster from the platform; while that can't be reached, from members and seeds.
+void RecordClient::followRoster()
+{
+    StoreResult stored = this->parts.store.get(rosterKey);
+    if (stored.ok()) {
+        handle(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_AUTO(roster, parseRoster(stored.object.value));
+                this->takeRoster(roster);
+                return true;
+            },
+            [&](const Error& error) {
+                LogLine(LogLevel::Error, "roster_unreadable").field("field", error.field).write();
+                return false;
+            });
+        return;
+    }
+    if (stored.status == StoreStatus::NotFound)
+        return;
+    std::vector<std::string> addresses = this->settings.seeds;
+    for (const RosterMember& member : this->roster().members)
+        addresses.push_back(member.address);
+    auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(InspectRequest {}) },
+        inspectTimeout, [](const auto&) { return false; });
+    for (const PeerResult& result : results) {
+        const auto* reply = std::get_if<RecordReply>(&result.answer);
+        auto response = reply != nullptr ? decodeRecordResponse(reply->content) : std::nullopt;
+        if (response && response->roster)
+            this->takeRoster(*response->roster);
+    }
+}
+
+void RecordClient::takeRoster(const Roster& roster)
+{
+    {
+        std::lock_guard lock(this->mutex);
+        if (roster.epoch <= this->current.epoch)
+            return;
+        this->current = roster;
+    }
+    LogLine(LogLevel::Info, "roster_known")
+        .field("epoch", roster.epoch)
+        .field("members", roster.members.size())
+        .write();
+}
+
+// --- Asking replicas
+
+void RecordClient::addAnswer(Answers& answers, const RosterMember& member, const PeerResult& result)
+{
+    const auto* reply = std::get_if<RecordReply>(&result.answer);
+    if (result.status != PeerStatus::Ok || reply == nullptr)
+        return;
+    auto response = decodeRecordResponse(reply->content);
+    if (!response)
+        return;
+    ++answers.answered;
+    if (response->roster && response->roster->epoch > answers.newest.epoch)
+        answers.newest = *response->roster;
+    if (response->status == RecordStatus::Ok)
+        answers.accepted.push_back(&member);
+    if (response->status == RecordStatus::Ok || response->status == RecordStatus::Exhausted)
+        answers.responses.push_back(std::move(*response));
+    answers.exhausted = answers.exhausted || answers.responses.size() > answers.accepted.size();
+}
+
+RecordClient::Answers RecordClient::askReplicas(const Roster& known, const std::vector<const RosterMember*>& replicas,
+    const RecordRequest& request, Duration timeout, const std::function<bool(const Answers&)>& enough)
+{
+    std::vector<std::string> addresses;
+    for (const RosterMember* replica : replicas)
+        addresses.push_back(replica->address);
+    Answers answers;
+    answers.newest.epoch = known.epoch;
+    std::vector<bool> counted(replicas.size(), false);
+    auto count = [&](const std::vector<const PeerResult*>& arrived) {
+        for (std::size_t i = 0; i < arrived.size(); ++i) {
+            if (counted[i] || arrived[i] == nullptr)
+                continue;
+            counted[i] = true;
+            addAnswer(answers, *replicas[i], *arrived[i]);
+        }
+        answers.oldEpoch = answers.newest.epoch > known.epoch;
+        return answers.oldEpoch || enough(answers);
+    };
+    auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(request) }, timeout, count);
+    std::vector<const PeerResult*> arrived;
+    for (const PeerResult& result : results)
+        arrived.push_back(result.status == PeerStatus::Ok ? &result : nullptr);
+    count(arrived);
+    if (answers.oldEpoch)
+        this->takeRoster(answers.newest);
+    return answers;
+}
+
+void RecordClient::noteReached(bool reached)
+{
+    std::lock_guard lock(this->mutex);
+    TimePoint now = this->parts.clock.now();
+    bool before = this->lastMissed <= this->lastReached;
+    (reached ? this->lastReached : this->lastMissed) = now;
+    if (before == reached)
+        return;
+    LogLine(reached ? LogLevel::Info : LogLevel::Warning, reached ? "dependency_regained" : "dependency_lost")
+        .field("dependency", "record_nodes")
+        .field("epoch", this->current.epoch)
+        .write();
+}
+
+// --- Token budgets
+
+Grant RecordClient::reserve(const GrantRequest& request, TimePoint deadline)
+{
+    Reservation reservation { request.program, request.requestId, request.tokens, false,
+        expiryOf(request.retention, this->parts.clock) };
+    TimePoint until = std::min(deadline, this->parts.clock.now() + longestReserve);
+    bool hopeful = this->reachable();
+    bool sent = false;
+    do {
+        Roster roster = this->roster();
+        auto replicas = replicasOf(roster, request.program, this->settings.tolerance);
+        std::size_t majority = majorityOf(replicas.size());
+        if (replicas.empty())
+            break;
+        Duration timeout
+            = std::min<Duration>(until - this->parts.clock.now(), hopeful ? voteTimeout : shortVoteTimeout);
+        sent = true;
+        Answers answers
+            = this->askReplicas(roster, replicas, ReserveRequest { roster.epoch, reservation, request.budget }, timeout,
+                [majority](const Answers& so) { return so.accepted.size() >= majority || so.exhausted; });
+        ProgramReservations others;
+        for (const RecordResponse& response : answers.responses) {
+            for (const Reservation& other : response.reservations)
+                mergeReservation(others, other);
+        }
+        std::uint64_t used = usedTokens(others, request.requestId);
+        bool exceeds = used + request.tokens > request.budget;
+        if (answers.exhausted || (answers.accepted.size() >= majority && exceeds)) {
+            this->noteReached(true);
+            this->settle(request, 0);
+            return { GrantStatus::Exhausted, used };
+        }
+        if (answers.accepted.size() >= majority) {
+            this->noteReached(true);
+            return { GrantStatus::Granted, used };
+        }
+        if (!answers.oldEpoch) {
+            this->noteReached(false);
+            std::this_thread::sleep_for(retryPause);
+        }
+    } while (hopeful && this->parts.clock.now() < until);
+    if (sent)
+        this->settle(request, 0);
+    return {};
+}
+
+void RecordClient::settle(const GrantRequest& request, std::uint64_t usedTokens)
+{
+    Reservation reservation { request.program, request.requestId, usedTokens, true,
+        expiryOf(request.retention, this->parts.clock) };
+    RecordCall call { encodeRecordRequest(SettleRequest { std::move(reservation) }) };
+    Roster roster = this->roster();
+    for (const RosterMember* replica : replicasOf(roster, request.program, this->settings.tolerance))
+        this->parts.peers.notify(replica->address, call);
+}
+
+// --- Kept turns
+
+bool RecordClient::keep(const TurnRecord& record, TimePoint deadline)
+{
+    StoredTurn turn { record.id, record.previous, record.input, record.output, record.program,
+        expiryOf(record.retention, this->parts.clock) };
+    TimePoint until = std::min(deadline, this->parts.clock.now() + longestKeep);
+    bool kept = false;
+    while (!kept) {
+        Roster roster = this->roster();
+        auto replicas = replicasOf(roster, record.program, this->settings.tolerance);
+        auto enough = [this](const Answers& so) { return enoughCopies(so.accepted, this->settings.tolerance); };
+        Duration timeout = std::min<Duration>(until - this->parts.clock.now(), storeTimeout);
+        Answers answers = this->askReplicas(roster, replicas, StoreTurnRequest { roster.epoch, turn }, timeout, enough);
+        kept = enough(answers);
+        if (!kept && answers.oldEpoch && this->parts.clock.now() < until)
+            continue;
+        if (!kept)
+            kept = this->keepAtPlatform(record, turn.expiresUnixMillis);
+        if (this->parts.clock.now() >= until)
+            break;
+    }
+    if (kept)
+        this->cache.add({ record.id, record.previous, record.input + record.output });
+    return kept;
+}
+
+bool RecordClient::keepAtPlatform(const TurnRecord& record, std::int64_t expiresUnixMillis)
+{
+    StoredTurn turn { record.id, record.previous, record.input, record.output, record.program, expiresUnixMillis };
+    std::string value = "{\"turn\":\"" + encodeBase64(encodeLoggedEntry(turn)) + "\"}";
+    StoreResult stored = this->parts.store.create(objectKeyOf(record.id), value);
+    bool kept = stored.ok() || stored.status == StoreStatus::Conflict; // written by an earlier try
+    this->platformCopies.add(kept ? 1 : 0);
+    LogLine(LogLevel::Info, "turn_kept_at_platform")
+        .field("request", record.id)
+        .field("status", storeStatusNames.name(stored.status))
+        .write();
+    return kept;
+}
+
+bool RecordClient::readFromPlatform(const std::string& id, StoredTurn& turn, bool& absent)
+{
+    StoreResult stored = this->parts.store.get(objectKeyOf(id));
+    absent = stored.status == StoreStatus::NotFound;
+    if (!stored.ok())
+        return false;
+    std::size_t start = stored.object.value.find(":\"");
+    std::size_t end = stored.object.value.rfind('"');
+    if (start == std::string::npos || end <= start + 2)
+        return false;
+    auto entry = decodeLoggedEntry(decodeBase64(stored.object.value.substr(start + 2, end - start - 2)));
+    auto* found = entry ? std::get_if<StoredTurn>(&*entry) : nullptr;
+    if (found == nullptr || found->id != id)
+        return false;
+    turn = std::move(*found);
+    return true;
+}
+
+Chain RecordClient::chain(const std::string& id, TimePoint deadline)
+{
+    Chain result;
+    std::vector<std::string> texts; // the newest first
+    std::map<std::string, StoredTurn> fetched;
+    std::string next = id;
+    while (!next.empty() && texts.size() < maxChainTurns) {
+        if (auto cached = this->cache.find(next)) {
+            texts.push_back(std::move(cached->text));
+            next = cached->previous;
+            continue;
+        }
+        auto found = fetched.find(next);
+        if (found != fetched.end()) {
+            StoredTurn& turn = found->second;
+            this->cache.add({ turn.id, turn.previous, turn.input + turn.output });
+            texts.push_back(turn.input + turn.output);
+            next = turn.previous;
+            continue;
+        }
+        bool absent = false;
+        if (this->readMissing(next, deadline, fetched, absent))
+            continue;
+        // Only the turn that the caller names may be unknown; a gap behind it is a copy that can't be reached now.
+        result.status = absent && next == id ? ChainStatus::Absent : ChainStatus::Unavailable;
+        LogLine(LogLevel::Info, "turn_not_found")
+            .field("turn", next)
+            .field("previous", id)
+            .field("absent", absent)
+            .field("epoch", this->roster().epoch)
+            .write();
+        return result;
+    }
+    result.status = ChainStatus::Found;
+    result.turns = texts.size();
+    for (auto text = texts.rbegin(); text != texts.rend(); ++text)
+        result.text += *text;
+    return result;
+}
+
+// Reads the turn `id` and what it continues, from the nearest node first, then from all. `absent` is set when every
+// node that could hold it says that it does not.
+bool RecordClient::readMissing(
+    const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent)
+{
+    Roster roster = this->roster();
+    std::vector<const RosterMember*> near;
+    std::vector<const RosterMember*> all;
+    for (const RosterMember& member : roster.members) {
+        all.push_back(&member);
+        if (member.dataCentre == this->settings.dataCentre)
+            near.push_back(&member);
+    }
+    auto take = [&](const Answers& answers) {
+        for (const RecordResponse& response : answers.responses) {
+            for (const StoredTurn& turn : response.turns)
+                found.emplace(turn.id, turn);
+        }
+        return found.count(id) > 0;
+    };
+    auto anyFound = [](const Answers& so) { return !so.accepted.empty(); };
+    RecordRequest request = ReadChainRequest { id };
+    if (!near.empty() && take(this->askReplicas(roster, near, request, nearReadTimeout, anyFound)))
+        return true;
+    std::size_t complete = 0;
+    auto countComplete = [&complete](const std::vector<const PeerResult*>& arrived) {
+        complete = 0;
+        for (const PeerResult* result : arrived) {
+            const auto* reply = result != nullptr ? std::get_if<RecordReply>(&result->answer) : nullptr;
+            auto response = reply != nullptr ? decodeRecordResponse(reply->content) : std::nullopt;
+            complete += response && response->complete ? 1 : 0;
+        }
+    };
+    std::vector<std::string> addresses;
+    for (const RosterMember* member : all)
+        addresses.push_back(member->address);
+    Duration timeout = std::min<Duration>(deadline - this->parts.clock.now(), readTimeout);
+    Answers answers;
+    auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(request) }, timeout,
+        [&](const std::vector<const PeerResult*>& arrived) {
+            return std::any_of(arrived.begin(), arrived.end(), [&](const PeerResult* result) {
+                const auto* reply = result != nullptr ? std::get_if<RecordReply>(&result->answer) : nullptr;
+                auto response = reply != nullptr ? decodeRecordResponse(reply->content) : std::nullopt;
+                return response && response->status == RecordStatus::Ok;
+            });
+        });
+    std::vector<const PeerResult*> arrived;
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        arrived.push_back(results[i].status == PeerStatus::Ok ? &results[i] : nullptr);
+        addAnswer(answers, *all[i], results[i]);
+    }
+    if (take(answers))
+        return true;
+    countComplete(arrived);
+    StoredTurn turn;
+    bool notAtPlatform = false;
+    if (this->readFromPlatform(id, turn, notAtPlatform)) {
+        found.emplace(id, std::move(turn));
+        return true;
+    }
+    absent = notAtPlatform && !all.empty() && complete == all.size();
+    return false;
+}
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/records/RecordClient.h
@@ -0,0 +1,94 @@
+#pragma once
+
+// Kept turns and token budgets for an entry node, held by the record nodes.
+//
+//     RecordClient client(settings, parts);
+//     client.start();                      // follows the roster
+//     Grant grant = client.reserve(request, deadline);
+//     bool kept = client.keep(turn, deadline);
+//
+// A grant needs a majority of the program's replicas. Each of them refuses what would exceed the budget by its own
+// records, and this node adds up what they report together, so a grant is seen by every later majority. A turn is kept
+// when enough disks in enough data centres have it, or else the platform.
+//
+// Thread safety: every member may be called from any thread, except `start` and `stop`.
+
+#include "lovagecross/adapters/Counters.h"
+#include "lovagecross/base/Clock.h"
+#include "lovagecross/gateway/Turns.h"
+#include "lovagecross/ports/ObjectStore.h"
+#include "lovagecross/ports/Peer.h"
+#include "lovagecross/records/RecordMessages.h"
+#include "lovagecross/records/RecordNode.h"
+#include "lovagecross/records/Roster.h"
+#include "lovagecross/records/TurnCache.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lovagecross {
+
+struct RecordClientSettings {
+    std::string dataCentre;
+    Tolerance tolerance;
+    std::vector<std::string> seeds; // peer addresses of nodes that may know the roster
+    std::size_t cacheBytes = 8 * 1024 * 1024;
+};
+
+class RecordClient final : public TurnStore, public TokenBudgets {
+public:
+    RecordClient(RecordClientSettings clientSettings, RecordNodeParts clientParts);
+    ~RecordClient() override;
+
+    void start();
+    void stop();
+
+    Chain chain(const std::string& id, TimePoint deadline) override;
+    bool keep(const TurnRecord& record, TimePoint deadline) override;
+    Grant reserve(const GrantRequest& request, TimePoint deadline) override;
+    void settle(const GrantRequest& request, std::uint64_t usedTokens) override;
+
+    Roster roster() const;
+
+    // Whether a majority of the record nodes answered lately; an entry node without one can't start turns.
+    bool reachable() const;
+
+private:
+    struct Answers {
+        std::vector<const RosterMember*> accepted;
+        std::vector<RecordResponse> responses; // of those that accepted
+        std::size_t answered = 0;
+        bool exhausted = false;
+        bool oldEpoch = false;
+        Roster newest;
+    };
+
+    Answers askReplicas(const Roster& known, const std::vector<const RosterMember*>& replicas,
+        const RecordRequest& request, Duration timeout, const std::function<bool(const Answers&)>& enough);
+    static void addAnswer(Answers& answers, const RosterMember& member, const PeerResult& result);
+    void noteReached(bool reached);
+    bool keepAtPlatform(const TurnRecord& record, std::int64_t expiresUnixMillis);
+    bool readFromPlatform(const std::string& id, StoredTurn& turn, bool& absent);
+    bool readMissing(const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent);
+    void takeRoster(const Roster& roster);
+    void followRoster();
+    void run();
+
+    const RecordClientSettings settings;
+    const RecordNodeParts parts;
+    TurnCache cache;
+    mutable std::mutex mutex; // guards what follows
+    Roster current;
+    TimePoint lastReached;
+    TimePoint lastMissed;
+    std::condition_variable wake;
+    bool stopping = false;
+    std::thread thread;
+    Counter& platformCopies;
+};
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/records/RecordMessages.cpp
@@ -0,0 +1,195 @@
+#include "lovagecross/records/RecordMessages.h"
+
+#include "lovagecross/records/records.pb.h"
+
+#include <limits>
+
+namespace lovagecross {
+
+namespace {
+
+void write(const StoredTurn& turn, proto::Turn* out)
+{
+    out->set_id(turn.id);
+    out->set_previous(turn.previous);
+    out->set_input(turn.input);
+    out->set_output(turn.output);
+    out->set_group(turn.group);
+    out->set_expires_unix_millis(turn.expiresUnixMillis);
+}
+
+StoredTurn read(const proto::Turn& in)
+{
+    return { in.id(), in.previous(), in.input(), in.output(), in.group(), in.expires_unix_millis() };
+}
+
+void write(const Reservation& reservation, proto::Reservation* out)
+{
+    out->set_program(reservation.program);
+    out->set_request_id(reservation.requestId);
+    out->set_tokens(reservation.tokens);
+    out->set_settled(reservation.settled);
+    out->set_expires_unix_millis(reservation.expiresUnixMillis);
+}
+
+Reservation read(const proto::Reservation& in)
+{
+    return { in.program(), in.request_id(), in.tokens(), in.settled(), in.expires_unix_millis() };
+}
+
+void write(const Roster& roster, proto::RecordRoster* out)
+{
+    out->set_epoch(roster.epoch);
+    for (const RosterMember& member : roster.members) {
+        proto::RecordMember* entry = out->add_members();
+        entry->set_node(member.node);
+        entry->set_disk(member.disk);
+        entry->set_address(member.address);
+        entry->set_data_centre(member.dataCentre);
+    }
+}
+
+Roster read(const proto::RecordRoster& in)
+{
+    Roster roster;
+    roster.epoch = in.epoch();
+    for (const proto::RecordMember& member : in.members())
+        roster.members.push_back({ member.node(), member.disk(), member.address(), member.data_centre() });
+    return roster;
+}
+
+struct RequestWriter {
+    proto::RecordRequest& out;
+
+    void operator()(const StoreTurnRequest& request) const
+    {
+        this->out.mutable_store_turn()->set_epoch(request.epoch);
+        write(request.turn, this->out.mutable_store_turn()->mutable_turn());
+    }
+    void operator()(const ReadChainRequest& request) const { this->out.mutable_read_chain()->set_id(request.id); }
+    void operator()(const ReserveRequest& request) const
+    {
+        this->out.mutable_reserve()->set_epoch(request.epoch);
+        this->out.mutable_reserve()->set_budget(request.budget);
+        write(request.reservation, this->out.mutable_reserve()->mutable_reservation());
+    }
+    void operator()(const SettleRequest& request) const
+    {
+        write(request.reservation, this->out.mutable_settle()->mutable_reservation());
+    }
+    void operator()(const AdoptRequest& request) const
+    {
+        write(request.roster, this->out.mutable_adopt()->mutable_roster());
+    }
+    void operator()(const FillRequest& request) const { this->out.mutable_fill()->set_after(request.after); }
+    void operator()(const InspectRequest&) const { this->out.mutable_inspect(); }
+};
+
+template <typename Message> bool parse(std::string_view bytes, Message& message)
+{
+    return bytes.size() <= static_cast<std::size_t>(std::numeric_limits<int>::max())
+        && message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+} // namespace
+
+std::string encodeRecordRequest(const RecordRequest& request)
+{
+    proto::RecordRequest out;
+    std::visit(RequestWriter { out }, request);
+    return out.SerializeAsString();
+}
+
+std::optional<RecordRequest> decodeRecordRequest(std::string_view bytes)
+{
+    proto::RecordRequest in;
+    if (!parse(bytes, in))
+        return std::nullopt;
+    switch (in.kind_case()) {
+    case proto::RecordRequest::kStoreTurn:
+        return StoreTurnRequest { in.store_turn().epoch(), read(in.store_turn().turn()) };
+    case proto::RecordRequest::kReadChain:
+        return ReadChainRequest { in.read_chain().id() };
+    case proto::RecordRequest::kReserve:
+        return ReserveRequest { in.reserve().epoch(), read(in.reserve().reservation()), in.reserve().budget() };
+    case proto::RecordRequest::kSettle:
+        return SettleRequest { read(in.settle().reservation()) };
+    case proto::RecordRequest::kAdopt:
+        return AdoptRequest { read(in.adopt().roster()) };
+    case proto::RecordRequest::kFill:
+        return FillRequest { in.fill().after() };
+    case proto::RecordRequest::kInspect:
+        return InspectRequest {};
+    default:
+        return std::nullopt;
+    }
+}
+
+std::string encodeRecordResponse(const RecordResponse& response)
+{
+    proto::RecordResponse out;
+    out.set_status(static_cast<std::uint32_t>(response.status));
+    if (response.roster)
+        write(*response.roster, out.mutable_roster());
+    out.set_complete(response.complete);
+    for (const StoredTurn& turn : response.turns)
+        write(turn, out.add_turns());
+    for (const Reservation& reservation : response.reservations)
+        write(reservation, out.add_reservations());
+    out.set_reached_start(response.reachedStart);
+    out.set_next(response.next);
+    out.set_last(response.last);
+    out.set_session(response.session);
+    out.set_filled_epoch(response.filledEpoch);
+    return out.SerializeAsString();
+}
+
+std::optional<RecordResponse> decodeRecordResponse(std::string_view bytes)
+{
+    proto::RecordResponse in;
+    if (!parse(bytes, in) || in.status() > static_cast<std::uint32_t>(RecordStatus::Absent))
+        return std::nullopt;
+    RecordResponse response;
+    response.status = static_cast<RecordStatus>(in.status());
+    if (in.has_roster())
+        response.roster = read(in.roster());
+    response.complete = in.complete();
+    for (const proto::Turn& turn : in.turns())
+        response.turns.push_back(read(turn));
+    for (const proto::Reservation& reservation : in.reservations())
+        response.reservations.push_back(read(reservation));
+    response.reachedStart = in.reached_start();
+    response.next = in.next();
+    response.last = in.last();
+    response.session = in.session();
+    response.filledEpoch = in.filled_epoch();
+    return response;
+}
+
+std::string encodeLoggedEntry(const LoggedEntry& entry)
+{
+    proto::LogEntry out;
+    if (const auto* turn = std::get_if<StoredTurn>(&entry))
+        write(*turn, out.mutable_turn());
+    else if (const auto* reservation = std::get_if<Reservation>(&entry))
+        write(*reservation, out.mutable_reservation());
+    else
+        write(std::get<Roster>(entry), out.mutable_roster());
+    return out.SerializeAsString();
+}
+
+std::optional<LoggedEntry> decodeLoggedEntry(std::string_view bytes)
+{
+    proto::LogEntry in;
+    if (!parse(bytes, in))
+        return std::nullopt;
+    if (in.has_turn())
+        return read(in.turn());
+    if (in.has_reservation())
+        return read(in.reservation());
+    if (in.has_roster())
+        return read(in.roster());
+    return std::nullopt;
+}
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/records/RecordNode.h
@@ -0,0 +1,146 @@
+#pragma once
+
+// Holds records on the disk of one VM: answers the messages of entry nodes, joins the roster, fetches what it lacks
+// from the other members, and empties itself when it is to be taken away.
+//
+//     RecordNode node(settings, parts);
+//     std::string error = node.load();       // empty: it serves what its disk holds
+//     node.start();
+//     RecordResponse response = node.handle(request);
+//     node.retire();                         // asks it to empty itself
+//     if (node.retired()) ...
+//
+// A node whose disk is new or was lost first fetches every record that it should hold from enough other members, and
+// votes on reservations only then.
+//
+// Thread safety: every member may be called from any thread, except `load`, `start` and `stop`, which are called
+// once each.
+
+#include "lovagecross/adapters/Counters.h"
+#include "lovagecross/base/Clock.h"
+#include "lovagecross/ports/ObjectStore.h"
+#include "lovagecross/ports/Peer.h"
+#include "lovagecross/records/RecordLog.h"
+#include "lovagecross/records/RecordMessages.h"
+#include "lovagecross/records/RecordTable.h"
+#include "lovagecross/records/Roster.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lovagecross {
+
+inline constexpr std::string_view rosterKey = "record-rosters/main"; // the roster's object at the platform
+
+struct RecordNodeSettings {
+    std::string node;
+    std::string address; // peer address
+    std::string dataCentre;
+    std::string dataFolder;
+    std::size_t diskBytes = 0; // that the log may take
+    bool firstStart = false; // the whole system starts for the first time, with empty disks
+    Tolerance tolerance;
+};
+
+struct RecordNodeParts {
+    Clock& clock;
+    ObjectStore& store;
+    PeerClient& peers;
+    Counters& counters;
+};
+
+class RecordNode {
+public:
+    RecordNode(RecordNodeSettings nodeSettings, RecordNodeParts nodeParts);
+    ~RecordNode();
+    RecordNode(const RecordNode&) = delete;
+    RecordNode& operator=(const RecordNode&) = delete;
+
+    // Reads the disk. Returns what went wrong; empty on success. `handle` may be called from then on.
+    std::string load();
+
+    // Joins the roster and keeps up with it, on a thread of its own.
+    void start();
+    void stop();
+
+    RecordResponse handle(const RecordRequest& request);
+
+    void retire();
+    bool retired() const;
+
+    // Whether it is a member with every record that it should hold.
+    bool ready() const;
+    Roster roster() const;
+
+private:
+    RecordResponse handleStoreTurn(const StoreTurnRequest& request);
+    RecordResponse handleReadChain(const ReadChainRequest& request) const;
+    RecordResponse handleReserve(const ReserveRequest& request);
+    RecordResponse handleSettle(const SettleRequest& request);
+    RecordResponse handleAdopt(const AdoptRequest& request);
+    RecordResponse handleFill(const FillRequest& request) const;
+    RecordResponse handleInspect() const;
+    bool acceptsEpoch(std::uint64_t epoch, RecordResponse& response) const;
+
+    void run();
+    void maintain();
+    StoreStatus refreshRoster();
+    bool adopt(const Roster& next, bool joinedNow);
+    bool isMember() const;
+    bool holdsGroup(std::string_view group) const;
+    void join();
+    bool writeRoster(const Roster& next, std::uint64_t version);
+    std::vector<std::string> unreachableMembers(const Roster& current);
+    void fill();
+    bool fetchFrom(const RosterMember& source);
+    void takeFetched(const RecordResponse& page);
+    void leave();
+    void expire();
+    RecordResponse ask(const std::string& address, const RecordRequest& request, Duration timeout, bool& answered);
+    std::vector<std::string> liveEntries() const;
+
+    const RecordNodeSettings settings;
+    const RecordNodeParts parts;
+    RecordLog log;
+    std::uint64_t disk = 0;
+    bool newDisk = false; // it held nothing at start; used by the maintenance thread only
+    const std::uint64_t session;
+
+    mutable std::mutex mutex; // guards what follows
+    RecordTable table;
+    Roster current;
+    bool complete = false; // holds every record that a replica of its groups should hold
+    bool wasMember = false; // of any roster, with this disk
+    std::uint64_t filledEpoch = 0;
+    std::vector<RosterMember> sources; // members of the rosters that the records to fetch may lie with
+    std::size_t sourcesNeeded = 0;
+    bool retireRequested = false;
+    bool isRetired = false;
+
+    struct Cursor {
+        std::uint64_t session = 0;
+        std::uint64_t position = 0;
+    };
+    std::map<std::string, Cursor> cursors; // by address; used by the maintenance thread only
+    std::uint64_t rosterVersion = 0; // of the object at the platform; used by the maintenance thread only
+    TimePoint nextRefresh;
+    TimePoint nextExpiry;
+
+    std::mutex wakeMutex;
+    std::condition_variable wake;
+    bool stopping = false;
+    bool hurry = false;
+    std::thread thread;
+
+    Counter& votes;
+    Counter& turnsStored;
+    Counter& chainsRead;
+};
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/records/Roster.cpp
@@ -0,0 +1,161 @@
+#include "lovagecross/records/Roster.h"
+
+#include "lovagecross/base/Hash.h"
+#include "lovagecross/config/JsonReader.h"
+#include "lovagecross/config/JsonText.h"
+#include "lovagecross/config/JsonWriter.h"
+#include "lovagecross/config/TextRules.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace lovagecross {
+
+namespace {
+
+constexpr std::int64_t maxEpoch = std::int64_t(1) << 53U; // a JSON number that every reader holds exactly
+constexpr std::size_t maxMembers = 1000;
+
+template <typename Visitor, typename MemberType> void visitMember(Visitor& visit, MemberType& member)
+{
+    visit.text("node", member.node, idRule, Presence::Required);
+    visit.integer("disk", member.disk, { 0, maxEpoch }, Presence::Required);
+    visit.text("address", member.address, addressRule, Presence::Required);
+    visit.text("dataCentre", member.dataCentre, idRule, Presence::Required);
+}
+
+template <typename Visitor, typename RosterType> void visitRoster(Visitor& visit, RosterType& roster)
+{
+    visit.integer("epoch", roster.epoch, { 1, maxEpoch }, Presence::Required);
+    visit.objects(
+        "members", roster.members, { 0, maxMembers },
+        [](auto& memberVisit, auto& member) { visitMember(memberVisit, member); }, Presence::Required);
+}
+
+std::size_t replicaCount(const Roster& roster, const Tolerance& tolerance)
+{
+    return std::min<std::size_t>(roster.members.size(), 2 * tolerance.machines + 1);
+}
+
+void sortByName(Roster& roster)
+{
+    std::sort(roster.members.begin(), roster.members.end(),
+        [](const RosterMember& left, const RosterMember& right) { return left.node < right.node; });
+}
+
+} // namespace
+
+const RosterMember* Roster::find(std::string_view node) const
+{
+    for (const RosterMember& member : this->members) {
+        if (member.node == node)
+            return &member;
+    }
+    return nullptr;
+}
+
+std::string printRoster(const Roster& roster)
+{
+    JsonWriter writer;
+    visitRoster(writer, roster);
+    return printJson(writer.take(), JsonLayout::OneLine);
+}
+
+Result<Roster> parseRoster(std::string_view json)
+{
+    BOOST_LEAF_AUTO(document, parseJson(json));
+    Roster roster;
+    JsonErrors errors;
+    JsonReader reader(document, {}, errors);
+    visitRoster(reader, roster);
+    reader.finish();
+    if (auto checked = errors.result(); !checked)
+        return checked.error();
+    sortByName(roster);
+    return roster;
+}
+
+std::vector<const RosterMember*> replicasOf(const Roster& roster, std::string_view group, const Tolerance& tolerance)
+{
+    std::vector<std::pair<std::uint64_t, const RosterMember*>> ranked;
+    std::set<std::string_view> dataCentres;
+    std::uint64_t seed = stableHash(group);
+    for (const RosterMember& member : roster.members) {
+        ranked.emplace_back(stableHash(member.node, seed), &member);
+        dataCentres.insert(member.dataCentre);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
+        return left.first != right.first ? left.first > right.first : left.second->node < right.second->node;
+    });
+    std::size_t count = replicaCount(roster, tolerance);
+    std::size_t perDataCentre = dataCentres.empty() ? 0 : (count + dataCentres.size() - 1) / dataCentres.size();
+    std::vector<const RosterMember*> replicas;
+    std::map<std::string_view, std::size_t> used;
+    // A second pass takes members past the bound where a data centre has too few.
+    for (std::size_t bound : { perDataCentre, count }) {
+        for (const auto& [rank, member] : ranked) {
+            bool taken = std::find(replicas.begin(), replicas.end(), member) != replicas.end();
+            if (taken || replicas.size() >= count || used[member->dataCentre] >= bound)
+                continue;
+            ++used[member->dataCentre];
+            replicas.push_back(member);
+        }
+    }
+    return replicas;
+}
+
+std::size_t majorityOf(std::size_t replicas)
+{
+    return replicas / 2 + 1;
+}
+
+bool enoughCopies(const std::vector<const RosterMember*>& holders, const Tolerance& tolerance)
+{
+    std::set<std::string_view> dataCentres;
+    for (const RosterMember* member : holders)
+        dataCentres.insert(member->dataCentre);
+    return holders.size() > tolerance.machines && dataCentres.size() > tolerance.dataCentres;
+}
+
+Roster withMember(const Roster& roster, const RosterMember& joining, const std::vector<std::string>& unreachable)
+{
+    Roster next = roster;
+    ++next.epoch;
+    bool replacesItself
+        = std::erase_if(next.members, [&](const auto& member) { return member.node == joining.node; }) > 0;
+    const RosterMember* lost = nullptr;
+    for (const std::string& name : unreachable) {
+        const RosterMember* member = next.find(name);
+        if (member != nullptr && (lost == nullptr || member->dataCentre == joining.dataCentre))
+            lost = member;
+    }
+    if (lost != nullptr && !replacesItself) {
+        std::string name = lost->node;
+        std::erase_if(next.members, [&](const auto& member) { return member.node == name; });
+    }
+    next.members.push_back(joining);
+    sortByName(next);
+    return next;
+}
+
+Roster withoutMember(const Roster& roster, std::string_view node)
+{
+    Roster next = roster;
+    ++next.epoch;
+    std::erase_if(next.members, [&](const auto& member) { return member.node == node; });
+    return next;
+}
+
+bool mayGainGroups(const Roster& current, const Roster& next, std::string_view node, const Tolerance& tolerance)
+{
+    const RosterMember* before = current.find(node);
+    const RosterMember* after = next.find(node);
+    if (after == nullptr)
+        return false;
+    if (before == nullptr || before->disk != after->disk)
+        return true;
+    return replicaCount(current, tolerance) < current.members.size();
+}
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/records/TurnCache.h
@@ -0,0 +1,38 @@
+#pragma once
+
+// The turns that this node has kept or read last, so that a conversation that stays on a node isn't fetched again. It
+// proves nothing about turns that it lacks.
+//
+// Thread safety: every member may be called from any thread.
+
+#include <cstddef>
+#include <list>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace lovagecross {
+
+struct CachedTurn {
+    std::string id;
+    std::string previous;
+    std::string text; // input and output
+};
+
+class TurnCache {
+public:
+    explicit TurnCache(std::size_t maxCachedBytes);
+
+    void add(CachedTurn turn);
+    std::optional<CachedTurn> find(const std::string& id);
+
+private:
+    const std::size_t maxBytes;
+    std::mutex mutex;
+    std::list<CachedTurn> recent; // used last first
+    std::unordered_map<std::string, std::list<CachedTurn>::iterator> byId;
+    std::size_t bytes = 0;
+};
+
+} // namespace lovagecross
--- a/lovagecross/runtime/Node.cpp
+++ b/lovagecross/runtime/Node.cpp
@@ -95,6 +95,9 @@
     {
         return this->node.router().serveForwarded(request, this->sink);
     }
+
+    // Record messages are for record nodes only.
+    PeerAnswer operator()(const RecordCall&) const { return {}; }
 };
 
 } // namespace
