Turn callers away from nodes that are cut off from the record nodes

Change: ReachTracker confirms a round without a majority by a probe; from then on turns are refused at once, the connection closes, Retry-After tells when another node can serve, and the node reports not ready unless no other entry node reaches the record nodes either.

--- a/lovagecross/adapters/ZmqPeers.cpp
+++ b/lovagecross/adapters/ZmqPeers.cpp
@@ -48,7 +48,10 @@
 constexpr auto goodbyeAfterAnswer = std::chrono::seconds(1);
 constexpr auto lingerTime = std::chrono::seconds(2); // of a request whose asking thread no longer waits
 constexpr int sendHighWater = 32; // messages inside ZeroMQ, each connection
-constexpr int receiveHighWater = 64;
+// When a receive queue fills up, libzmq 4.3.4 stops reading the connection, and a heartbeat timer that fires after the
+// connection then fails ends the process (assertion in out_event). So the queue is too long to fill: the I/O thread
+// drains it, and the worker pools refuse what is beyond their bounds.
+constexpr int receiveHighWater = 100'000;
 constexpr std::size_t maxReceivesPerTurn = 256; // of one socket before the others get a turn
 constexpr std::size_t partBytes = 768 * 1024; // of an answer that is sent in parts
 constexpr std::size_t controlWorkers = 4;
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -189,6 +189,7 @@
     {
         RecordClientSettings client;
         client.dataCentre = this->base.settings.dataCentre;
+        client.ownAddress = this->base.settings.peerAddress;
         client.tolerance = toleranceOf(this->base.settings);
         client.seeds = this->base.settings.seeds;
         client.cacheBytes = std::size_t(this->base.settings.memoryMegabytes) * 1024 * 1024 / cacheShareOfMemory;
@@ -211,6 +212,8 @@
             return "no configuration is known";
         if (!view->registryKnown)
             return "the registry is not known";
+        if (this->records.shouldTurnAway())
+            return "the record nodes can't be reached";
         return {};
     }
 
@@ -220,6 +223,7 @@
         if (!std::holds_alternative<InspectRequest>(request))
             return response; // NotReady: this node holds no records
         response.status = RecordStatus::Ok;
+        response.complete = this->records.reach() == Reach::Reachable;
         Roster roster = this->records.roster();
         if (roster.epoch > 0)
             response.roster = std::move(roster);
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -77,7 +77,7 @@
     this->settleTokens();
     switch (step) {
     case Step::Done:
-        return this->parts.draining || !this->head.keepAlive ? AfterCall::Close : AfterCall::KeepOpen;
+        return this->mustClose() ? AfterCall::Close : AfterCall::KeepOpen;
     case Step::Left:
         this->parts.counters.callersLeft.add();
         this->logEnd("caller_left", 0);
@@ -123,7 +123,8 @@
     case ChainStatus::Unavailable:
         break;
     }
-    return this->refuse(503, "the previous turn can't be read now", retrySoon);
+    this->closeAfter = true; // another node may reach what this one can't
+    return this->refuse(503, "the previous turn can't be read now", chain.retryAfter);
 }
 
 std::optional<AfterCall> CallRunner::reserveTokens(const Route& found)
@@ -142,7 +143,8 @@
     case GrantStatus::Unavailable:
         break;
     }
-    return this->refuse(503, "the token budget can't be checked now", retrySoon);
+    this->closeAfter = true; // another node may reach what this one can't
+    return this->refuse(503, "the token budget can't be checked now", answer.retryAfter);
 }
 
 void CallRunner::settleTokens()
@@ -448,8 +450,7 @@
     this->lastFailure = this->lastFailure.empty() ? std::string(reason) : this->lastFailure;
     this->logEnd(reason, status);
     bool written = this->write(printResponseHead(status, reasonPhrase(status), headers) + content);
-    bool open = written && this->head.keepAlive && !this->parts.draining;
-    return open ? AfterCall::KeepOpen : AfterCall::Close;
+    return written && !this->mustClose() ? AfterCall::KeepOpen : AfterCall::Close;
 }
 
 // Every attempt has failed.
@@ -469,10 +470,15 @@
 
 void CallRunner::addConnectionFields(HeaderList& headers) const
 {
-    if (this->parts.draining || !this->head.keepAlive)
+    if (this->mustClose())
         headers.add("Connection", "close");
 }
 
+bool CallRunner::mustClose() const
+{
+    return this->parts.draining || this->closeAfter || !this->head.keepAlive;
+}
+
 bool CallRunner::write(std::string_view bytes)
 {
     return this->caller.send(bytes, this->parts.clock.now() + writeTimeout, this->parts.clock) == IoStatus::Ok;
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -75,6 +75,7 @@
     Step writeAnswer(const ResponseHead& head, std::string_view content);
     bool writeStreamHead();
     void addConnectionFields(HeaderList& headers) const;
+    bool mustClose() const;
     bool write(std::string_view bytes);
     void logEnd(std::string_view outcome, int status);
     Duration timeLeft() const;
@@ -88,6 +89,7 @@
     Call call;
     TimePoint deadline;
     const Route* route = nullptr;
+    bool closeAfter = false; // the caller's next call should reach another node
     std::string callerText; // of a turn, before its conversation is put in front of it
 
     // Attempts
--- a/lovagecross/gateway/Turns.h
+++ b/lovagecross/gateway/Turns.h
@@ -32,6 +32,7 @@
     ChainStatus status = ChainStatus::Unavailable;
     std::string text; // input and output of each turn, the oldest first
     std::size_t turns = 0;
+    Duration retryAfter { 0 }; // for Unavailable: when the caller should come back
 };
 
 class TurnStore {
@@ -62,6 +63,7 @@
 struct Grant {
     GrantStatus status = GrantStatus::Unavailable;
     std::uint64_t usedTokens = 0; // by other turns, open grants counted whole
+    Duration retryAfter { 0 }; // for Unavailable: when the caller should come back
 };
 
 class TokenBudgets {
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -18,15 +18,15 @@
 constexpr Duration rosterInterval = std::chrono::seconds(3);
 constexpr Duration rosterRetryInterval = milliseconds(300); // while none is known
 constexpr Duration inspectTimeout = milliseconds(500);
-constexpr Duration voteTimeout = milliseconds(400); // of one round
-constexpr Duration shortVoteTimeout = milliseconds(120); // while no majority has answered lately
-constexpr Duration longestReserve = milliseconds(1200);
+constexpr Duration voteTimeout = milliseconds(300); // of one round; a lost packet comes again after 200 ms
+constexpr Duration longestReserve = milliseconds(900);
+constexpr Duration probeTimeout = milliseconds(200);
+constexpr Duration probeInterval = milliseconds(150); // while no majority answers
 constexpr Duration storeTimeout = milliseconds(300); // before the platform is asked to keep the turn
-constexpr Duration longestKeep = milliseconds(2500);
+constexpr Duration longestKeep = milliseconds(1500);
 constexpr Duration nearReadTimeout = milliseconds(120);
 constexpr Duration readTimeout = milliseconds(500);
 constexpr Duration retryPause = milliseconds(20);
-constexpr Duration missMemory = milliseconds(1500);
 constexpr std::size_t maxChainTurns = 4096;
 constexpr std::string_view keptTurnPrefix = "kept-turns/";
 
@@ -106,12 +106,22 @@
     return this->current;
 }
 
-bool RecordClient::reachable() const
+bool RecordClient::shouldTurnAway() const
 {
     std::lock_guard lock(this->mutex);
-    if (this->current.epoch == 0)
-        return false;
-    return this->lastMissed <= this->lastReached || this->parts.clock.now() - this->lastMissed > missMemory;
+    return this->tracker.shouldTurnAway();
+}
+
+Reach RecordClient::reach() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->tracker.reach();
+}
+
+Duration RecordClient::pauseForCaller() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->tracker.retryAfter(this->parts.clock.now());
 }
 
 // --- Roster
@@ -120,14 +130,68 @@
 {
     std::unique_lock lock(this->mutex);
     while (!this->stopping) {
+        TimePoint now = this->parts.clock.now();
+        bool missing = this->tracker.reach() == Reach::Doubtful || this->tracker.reach() == Reach::Cut;
+        bool follow = now >= this->nextFollow;
         lock.unlock();
-        this->followRoster();
+        if (follow)
+            this->followRoster();
+        if (missing)
+            this->probe();
         lock.lock();
-        Duration pause = this->current.epoch == 0 ? rosterRetryInterval : rosterInterval;
-        this->wake.wait_for(lock, pause, [this] { return this->stopping; });
+        now = this->parts.clock.now();
+        if (follow)
+            this->nextFollow = now + (this->current.epoch == 0 ? rosterRetryInterval : rosterInterval);
+        auto state = this->tracker.reach();
+        Duration pause = missing ? std::min<Duration>(probeInterval, this->nextFollow - now) : this->nextFollow - now;
+        this->wake.wait_for(
+            lock, pause, [this, state] { return this->stopping || this->tracker.reach() != state; });
     }
 }
 
+// Asks the record nodes for a sign of life while no majority of them answers.
+void RecordClient::probe()
+{
+    Roster roster = this->roster();
+    std::vector<const RosterMember*> members;
+    for (const RosterMember& member : roster.members)
+        members.push_back(&member);
+    std::size_t majority = majorityOf(members.size());
+    Answers answers = this->askReplicas(roster, members, InspectRequest {}, probeTimeout,
+        [majority](const Answers& so) { return so.accepted.size() >= majority; });
+    bool enough = answers.accepted.size() >= majority;
+    this->noteRound(answers, enough, true);
+    if (!enough)
+        this->askOpinions(roster);
+}
+
+// Asks other entry nodes whether they reach the record nodes.
+void RecordClient::askOpinions(const Roster& known)
+{
+    std::vector<std::string> seeds;
+    for (const std::string& seed : this->settings.seeds) {
+        if (seed != this->settings.ownAddress)
+            seeds.push_back(seed);
+    }
+    auto results = this->parts.peers.requestAll(seeds, RecordCall { encodeRecordRequest(InspectRequest {}) },
+        probeTimeout, [](const auto&) { return false; });
+    PeerOpinions opinions;
+    opinions.asked = seeds.size();
+    Roster newest = known;
+    for (const PeerResult& result : results) {
+        const auto* reply = std::get_if<RecordReply>(&result.answer);
+        auto response = reply != nullptr ? decodeRecordResponse(reply->content) : std::nullopt;
+        if (result.status != PeerStatus::Ok || !response)
+            continue;
+        ++(response->complete ? opinions.reaching : opinions.cut);
+        if (response->roster && response->roster->epoch > newest.epoch)
+            newest = *response->roster;
+    }
+    this->takeRoster(newest);
+    std::lock_guard lock(this->mutex);
+    this->tracker.heard(opinions);
+}
+
 // Reads the roster from the platform; while that can't be reached, from members and seeds.
 void RecordClient::followRoster()
 {
@@ -223,17 +287,30 @@
     return answers;
 }
 
-void RecordClient::noteReached(bool reached)
+void RecordClient::noteRound(const Answers& answers, bool enough, bool isProbe)
 {
-    std::lock_guard lock(this->mutex);
-    TimePoint now = this->parts.clock.now();
-    bool before = this->lastMissed <= this->lastReached;
-    (reached ? this->lastReached : this->lastMissed) = now;
-    if (before == reached)
+    bool near = std::any_of(answers.accepted.begin(), answers.accepted.end(),
+        [this](const RosterMember* member) { return member->dataCentre == this->settings.dataCentre; });
+    Reach before {};
+    Reach after {};
+    std::uint64_t epoch = 0;
+    {
+        std::lock_guard lock(this->mutex);
+        before = this->tracker.reach();
+        this->tracker.round(enough, near, isProbe, this->parts.clock.now());
+        after = this->tracker.reach();
+        epoch = this->current.epoch;
+    }
+    if (before == after)
+        return;
+    this->wake.notify_all();
+    if (before != Reach::Cut && after != Reach::Cut)
         return;
-    LogLine(reached ? LogLevel::Info : LogLevel::Warning, reached ? "dependency_regained" : "dependency_lost")
+    LogLine(after == Reach::Cut ? LogLevel::Warning : LogLevel::Info,
+        after == Reach::Cut ? "dependency_lost" : "dependency_regained")
         .field("dependency", "record_nodes")
-        .field("epoch", this->current.epoch)
+        .field("epoch", epoch)
+        .field("nearAnswered", near)
         .write();
 }
 
@@ -244,44 +321,41 @@
     Reservation reservation { request.program, request.requestId, request.tokens, false,
         expiryOf(request.retention, this->parts.clock) };
     TimePoint until = std::min(deadline, this->parts.clock.now() + longestReserve);
-    bool hopeful = this->reachable();
     bool sent = false;
-    do {
+    while (this->reach() != Reach::Cut && this->parts.clock.now() < until) {
         Roster roster = this->roster();
         auto replicas = replicasOf(roster, request.program, this->settings.tolerance);
         std::size_t majority = majorityOf(replicas.size());
         if (replicas.empty())
             break;
-        Duration timeout
-            = std::min<Duration>(until - this->parts.clock.now(), hopeful ? voteTimeout : shortVoteTimeout);
+        Duration timeout = std::min<Duration>(until - this->parts.clock.now(), voteTimeout);
         sent = true;
-        Answers answers
-            = this->askReplicas(roster, replicas, ReserveRequest { roster.epoch, reservation, request.budget }, timeout,
-                [majority](const Answers& so) { return so.accepted.size() >= majority || so.exhausted; });
+        Answers answers = this->askReplicas(roster, replicas, ReserveRequest { roster.epoch, reservation, request.budget },
+            timeout, [majority](const Answers& so) { return so.accepted.size() >= majority || so.exhausted; });
         ProgramReservations others;
         for (const RecordResponse& response : answers.responses) {
             for (const Reservation& other : response.reservations)
                 mergeReservation(others, other);
         }
         std::uint64_t used = usedTokens(others, request.requestId);
-        bool exceeds = used + request.tokens > request.budget;
-        if (answers.exhausted || (answers.accepted.size() >= majority && exceeds)) {
-            this->noteReached(true);
+        bool voted = answers.accepted.size() >= majority;
+        if (answers.exhausted || (voted && used + request.tokens > request.budget)) {
             this->settle(request, 0);
-            return { GrantStatus::Exhausted, used };
+            return { GrantStatus::Exhausted, used, Duration(0) };
         }
-        if (answers.accepted.size() >= majority) {
-            this->noteReached(true);
-            return { GrantStatus::Granted, used };
-        }
-        if (!answers.oldEpoch) {
-            this->noteReached(false);
-            std::this_thread::sleep_for(retryPause);
-        }
-    } while (hopeful && this->parts.clock.now() < until);
+        if (answers.answered >= majority)
+            this->noteRound(answers, true, false);
+        if (voted)
+            return { GrantStatus::Granted, used, Duration(0) };
+        if (answers.oldEpoch)
+            continue;
+        if (answers.answered < majority)
+            this->noteRound(answers, false, false);
+        std::this_thread::sleep_for(retryPause);
+    }
     if (sent)
         this->settle(request, 0);
-    return {};
+    return { GrantStatus::Unavailable, 0, this->pauseForCaller() };
 }
 
 void RecordClient::settle(const GrantRequest& request, std::uint64_t usedTokens)
@@ -309,6 +383,8 @@
         Duration timeout = std::min<Duration>(until - this->parts.clock.now(), storeTimeout);
         Answers answers = this->askReplicas(roster, replicas, StoreTurnRequest { roster.epoch, turn }, timeout, enough);
         kept = enough(answers);
+        if (answers.answered < majorityOf(replicas.size()))
+            this->noteRound(answers, false, false);
         if (!kept && answers.oldEpoch && this->parts.clock.now() < until)
             continue;
         if (!kept)
@@ -378,6 +454,7 @@
             continue;
         // Only the turn that the caller names may be unknown; a gap behind it is a copy that can't be reached now.
         result.status = absent && next == id ? ChainStatus::Absent : ChainStatus::Unavailable;
+        result.retryAfter = this->pauseForCaller();
         LogLine(LogLevel::Info, "turn_not_found")
             .field("turn", next)
             .field("previous", id)
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -18,6 +18,7 @@
 #include "lovagecross/gateway/Turns.h"
 #include "lovagecross/ports/ObjectStore.h"
 #include "lovagecross/ports/Peer.h"
+#include "lovagecross/records/ReachTracker.h"
 #include "lovagecross/records/RecordMessages.h"
 #include "lovagecross/records/RecordNode.h"
 #include "lovagecross/records/Roster.h"
@@ -34,6 +35,7 @@
 
 struct RecordClientSettings {
     std::string dataCentre;
+    std::string ownAddress; // peer address of this node, to leave it out of the seeds
     Tolerance tolerance;
     std::vector<std::string> seeds; // peer addresses of nodes that may know the roster
     std::size_t cacheBytes = 8 * 1024 * 1024;
@@ -54,8 +56,9 @@
 
     Roster roster() const;
 
-    // Whether a majority of the record nodes answered lately; an entry node without one can't start turns.
-    bool reachable() const;
+    // Whether the node can't serve turns that others could: it should get no more calls.
+    bool shouldTurnAway() const;
+    Reach reach() const;
 
 private:
     struct Answers {
@@ -70,7 +73,10 @@
     Answers askReplicas(const Roster& known, const std::vector<const RosterMember*>& replicas,
         const RecordRequest& request, Duration timeout, const std::function<bool(const Answers&)>& enough);
     static void addAnswer(Answers& answers, const RosterMember& member, const PeerResult& result);
-    void noteReached(bool reached);
+    void noteRound(const Answers& answers, bool enough, bool isProbe);
+    Duration pauseForCaller() const;
+    void probe();
+    void askOpinions(const Roster& known);
     bool keepAtPlatform(const TurnRecord& record, std::int64_t expiresUnixMillis);
     bool readFromPlatform(const std::string& id, StoredTurn& turn, bool& absent);
     bool readMissing(const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent);
@@ -83,8 +89,8 @@
     TurnCache cache;
     mutable std::mutex mutex; // guards what follows
     Roster current;
-    TimePoint lastReached;
-    TimePoint lastMissed;
+    ReachTracker tracker;
+    TimePoint nextFollow;
     std::condition_variable wake;
     bool stopping = false;
     std::thread thread;
