--- /dev/null
+++ b/lovagecross/gateway/DirectoryTest.cpp
@@ -0,0 +1,106 @@
+#include "lovagecross/gateway/Directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lovagecross {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+ServerEntry server(const std::string& id, ServerState state = ServerState::Ready)
+{
+    ServerEntry entry;
+    entry.id = id;
+    entry.service = "tool";
+    entry.address = "127.0.0.1:1";
+    entry.state = state;
+    return entry;
+}
+
+GatewayConfiguration configuration(std::uint64_t version)
+{
+    GatewayConfiguration result;
+    result.version = version;
+    return result;
+}
+
+} // namespace
+
+class DirectoryTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DirectoryTest);
+    CPPUNIT_TEST(configurationNeverGoesBack);
+    CPPUNIT_TEST(deletedServersGoAtOnce);
+    CPPUNIT_TEST(serversThatLapsedInAnOutageAreWaitedFor);
+    CPPUNIT_TEST(leavingServersAreNotWaitedFor);
+    CPPUNIT_TEST(staleListsAreIgnored);
+    CPPUNIT_TEST_SUITE_END();
+
+    void configurationNeverGoesBack()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        CPPUNIT_ASSERT(!directory.view()->configuration);
+        CPPUNIT_ASSERT(directory.applyConfiguration(configuration(7)));
+        CPPUNIT_ASSERT(!directory.applyConfiguration(configuration(5)));
+        CPPUNIT_ASSERT(!directory.applyConfiguration(configuration(7)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), directory.view()->configuration->version);
+    }
+
+    // A server that is gone must get no new work.
+    void deletedServersGoAtOnce()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        directory.replaceServers({ server("a"), server("b") }, 10);
+        directory.changeServers({ { "a", std::nullopt } }, 11);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.view()->serversOf("tool").size());
+        directory.changeServers({ { "b", server("b", ServerState::Draining) } }, 12);
+        CPPUNIT_ASSERT(directory.view()->serversOf("tool")[0].state == ServerState::Draining);
+        CPPUNIT_ASSERT(directory.view()->serversOf("other").empty());
+    }
+
+    // Entries lapse without heartbeats while the registry is down; dropping all of them refuses calls for two seconds.
+    void serversThatLapsedInAnOutageAreWaitedFor()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        directory.replaceServers({ server("a"), server("b"), server("c") }, 10);
+        directory.registryUnreachable();
+        clock.advance(std::chrono::seconds(9));
+        directory.replaceServers({ server("c") }, 20);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), directory.view()->serversOf("tool").size());
+        directory.changeServers({ { "a", server("a") } }, 21);
+        clock.advance(Directory::lapsedGrace + milliseconds(1));
+        directory.expireLapsed();
+        const auto& left = directory.view()->serversOf("tool");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), left.size());
+        CPPUNIT_ASSERT(left[0].id == "a" && left[1].id == "c");
+    }
+
+    void leavingServersAreNotWaitedFor()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        directory.replaceServers({ server("a", ServerState::Draining), server("b") }, 10);
+        directory.registryUnreachable();
+        directory.replaceServers({ server("b") }, 20);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.view()->serversOf("tool").size());
+    }
+
+    // A list that a slow call brings after newer changes would bring back servers that are gone.
+    void staleListsAreIgnored()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        directory.replaceServers({ server("a") }, 10);
+        directory.changeServers({ { "a", std::nullopt } }, 12);
+        directory.replaceServers({ server("a") }, 11);
+        CPPUNIT_ASSERT(directory.view()->serversOf("tool").empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), directory.view()->registryRevision);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/gateway/ServerBookTest.cpp
@@ -0,0 +1,115 @@
+#include "lovagecross/gateway/ServerBook.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lovagecross {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+ServerEntry server(const std::string& id)
+{
+    ServerEntry entry;
+    entry.id = id;
+    entry.service = "tool";
+    entry.dataCentre = "a";
+    entry.slots = 6;
+    return entry;
+}
+
+} // namespace
+
+class ServerBookTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ServerBookTest);
+    CPPUNIT_TEST(failingServerIsLeftAloneAndTriedAgain);
+    CPPUNIT_TEST(allServersFailingIsNoReasonToRefuse);
+    CPPUNIT_TEST(leavingAndTriedServersAreSkipped);
+    CPPUNIT_TEST(slownessIsForgotten);
+    CPPUNIT_TEST(restartedServerHasNoPast);
+    CPPUNIT_TEST_SUITE_END();
+
+    ManualClock clock;
+
+    std::string chosenOf(
+        ServerBook& book, const std::vector<ServerEntry>& servers, const std::set<std::string>& tried = {})
+    {
+        auto chosen = book.choose(servers, {}, {}, tried);
+        if (!chosen)
+            return {};
+        book.finished(chosen->server, CallEnd::Abandoned, Duration(0), {});
+        return chosen->server.id;
+    }
+
+    void fail(ServerBook& book, const ServerEntry& target, int times)
+    {
+        for (int i = 0; i < times; ++i)
+            book.finished(target, CallEnd::Failed, Duration(0), {});
+    }
+
+    // A dark server costs each call a connect timeout.
+    void failingServerIsLeftAloneAndTriedAgain()
+    {
+        ServerBook book(this->clock, "a");
+        std::vector<ServerEntry> servers { server("x"), server("y") };
+        this->fail(book, servers[0], 2);
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::string("y"), this->chosenOf(book, servers));
+        this->clock.advance(std::chrono::seconds(1));
+        bool triedAgain = false;
+        for (int i = 0; i < 100; ++i)
+            triedAgain = triedAgain || this->chosenOf(book, servers) == "x";
+        CPPUNIT_ASSERT(triedAgain);
+    }
+
+    void allServersFailingIsNoReasonToRefuse()
+    {
+        ServerBook book(this->clock, "a");
+        std::vector<ServerEntry> servers { server("x") };
+        this->fail(book, servers[0], 5);
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), this->chosenOf(book, servers));
+    }
+
+    void leavingAndTriedServersAreSkipped()
+    {
+        ServerBook book(this->clock, "a");
+        std::vector<ServerEntry> servers { server("x"), server("y") };
+        servers[0].state = ServerState::Draining;
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), this->chosenOf(book, servers));
+        CPPUNIT_ASSERT_EQUAL(std::string(), this->chosenOf(book, servers, { "y" }));
+    }
+
+    // A learned estimate that never fades keeps a recovered server idle.
+    void slownessIsForgotten()
+    {
+        ServerBook book(this->clock, "a");
+        std::vector<ServerEntry> servers { server("x"), server("y") };
+        for (int i = 0; i < 40; ++i) {
+            book.finished(servers[0], CallEnd::Answered, milliseconds(500), {});
+            book.finished(servers[1], CallEnd::Answered, milliseconds(20), {});
+        }
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::string("y"), this->chosenOf(book, servers));
+        this->clock.advance(std::chrono::seconds(30));
+        bool used = false;
+        for (int i = 0; i < 100; ++i)
+            used = used || this->chosenOf(book, servers) == "x";
+        CPPUNIT_ASSERT(used);
+    }
+
+    void restartedServerHasNoPast()
+    {
+        ServerBook book(this->clock, "a");
+        std::vector<ServerEntry> servers { server("x"), server("y") };
+        this->fail(book, servers[0], 5);
+        servers[0].startedUnixMillis = 1;
+        bool used = false;
+        for (int i = 0; i < 100; ++i)
+            used = used || this->chosenOf(book, servers) == "x";
+        CPPUNIT_ASSERT(used);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerBookTest);
+
+} // namespace lovagecross
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -144,8 +144,7 @@
             this->nextFollow = now + (this->current.epoch == 0 ? rosterRetryInterval : rosterInterval);
         auto state = this->tracker.reach();
         Duration pause = missing ? std::min<Duration>(probeInterval, this->nextFollow - now) : this->nextFollow - now;
-        this->wake.wait_for(
-            lock, pause, [this, state] { return this->stopping || this->tracker.reach() != state; });
+        this->wake.wait_for(lock, pause, [this, state] { return this->stopping || this->tracker.reach() != state; });
     }
 }
 
@@ -173,8 +172,8 @@
         if (seed != this->settings.ownAddress)
             seeds.push_back(seed);
     }
-    auto results = this->parts.peers.requestAll(seeds, RecordCall { encodeRecordRequest(InspectRequest {}) },
-        probeTimeout, [](const auto&) { return false; });
+    auto results = this->parts.peers.requestAll(
+        seeds, RecordCall { encodeRecordRequest(InspectRequest {}) }, probeTimeout, [](const auto&) { return false; });
     PeerOpinions opinions;
     opinions.asked = seeds.size();
     Roster newest = known;
@@ -330,8 +329,9 @@
             break;
         Duration timeout = std::min<Duration>(until - this->parts.clock.now(), voteTimeout);
         sent = true;
-        Answers answers = this->askReplicas(roster, replicas, ReserveRequest { roster.epoch, reservation, request.budget },
-            timeout, [majority](const Answers& so) { return so.accepted.size() >= majority || so.exhausted; });
+        Answers answers
+            = this->askReplicas(roster, replicas, ReserveRequest { roster.epoch, reservation, request.budget }, timeout,
+                [majority](const Answers& so) { return so.accepted.size() >= majority || so.exhausted; });
         ProgramReservations others;
         for (const RecordResponse& response : answers.responses) {
             for (const Reservation& other : response.reservations)
--- /dev/null
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -0,0 +1,386 @@
+// Record nodes and a client together, over a loopback in place of the network.
+
+#include "lovagecross/records/RecordClient.h"
+#include "lovagecross/records/RecordNode.h"
+#include "lovagecross/testing/InMemoryObjectStore.h"
+
+#include <Poco/File.h>
+#include <Poco/TemporaryFile.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <thread>
+
+namespace lovagecross {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Delivers requests to the nodes that are up, as seen from one sender.
+class LoopbackNetwork {
+public:
+    void put(const std::string& address, RecordNode* node)
+    {
+        std::lock_guard lock(this->mutex);
+        this->nodes[address] = node;
+    }
+    void cut(const std::string& address, bool isCut)
+    {
+        std::lock_guard lock(this->mutex);
+        if (isCut)
+            this->cutAddresses.insert(address);
+        else
+            this->cutAddresses.erase(address);
+    }
+
+    PeerResult deliver(const std::string& from, const std::string& address, const PeerRequest& request)
+    {
+        RecordNode* node = nullptr;
+        {
+            std::lock_guard lock(this->mutex);
+            auto found = this->nodes.find(address);
+            bool reachable = this->cutAddresses.count(address) == 0 && this->cutAddresses.count(from) == 0;
+            if (found != this->nodes.end() && reachable)
+                node = found->second;
+        }
+        const auto* call = std::get_if<RecordCall>(&request);
+        if (node == nullptr || call == nullptr)
+            return { PeerStatus::NoAnswer, {} };
+        auto message = decodeRecordRequest(call->content);
+        if (!message)
+            return { PeerStatus::Rejected, {} };
+        return { PeerStatus::Ok, RecordReply { encodeRecordResponse(node->handle(*message)) } };
+    }
+
+private:
+    std::mutex mutex;
+    std::map<std::string, RecordNode*> nodes;
+    std::set<std::string> cutAddresses;
+};
+
+class LoopbackPeers final : public PeerClient {
+public:
+    LoopbackPeers(LoopbackNetwork& sharedNetwork, std::string ownAddress)
+        : network(sharedNetwork)
+        , own(std::move(ownAddress))
+    {
+    }
+
+    PeerResult request(const std::string& address, const PeerRequest& request, Duration, const ChunkSink&) override
+    {
+        return this->network.deliver(this->own, address, request);
+    }
+    std::vector<PeerResult> requestAll(
+        const std::vector<std::string>& addresses, const PeerRequest& request, Duration, const EnoughAnswers&) override
+    {
+        std::vector<PeerResult> results;
+        for (const std::string& address : addresses)
+            results.push_back(this->network.deliver(this->own, address, request));
+        return results;
+    }
+    void notify(const std::string& address, const PeerRequest& request) override
+    {
+        this->network.deliver(this->own, address, request);
+    }
+    void abandonForwards(const std::string&) override { }
+
+private:
+    LoopbackNetwork& network;
+    const std::string own;
+};
+
+// One record node with its disk, which can be stopped, started and wiped.
+class TestNode {
+public:
+    TestNode(const std::string& nodeName, const std::string& dataCentre, LoopbackNetwork& sharedNetwork,
+        ObjectStore& sharedStore)
+        : peers(sharedNetwork, "10.0.0.1:" + nodeName.substr(1))
+        , network(sharedNetwork)
+        , store(sharedStore)
+    {
+        this->settings.node = nodeName;
+        this->settings.address = "10.0.0.1:" + nodeName.substr(1);
+        this->settings.dataCentre = dataCentre;
+        this->settings.dataFolder = Poco::TemporaryFile::tempName();
+        this->settings.diskBytes = 64 * 1024 * 1024;
+        Poco::File(this->settings.dataFolder).createDirectories();
+        Poco::TemporaryFile::registerForDeletion(this->settings.dataFolder);
+    }
+    ~TestNode() { this->stop(); }
+
+    void start(bool firstStart)
+    {
+        this->settings.firstStart = firstStart;
+        this->node = std::make_unique<RecordNode>(
+            this->settings, RecordNodeParts { this->clock, this->store, this->peers, this->counters });
+        CPPUNIT_ASSERT_EQUAL(std::string(), this->node->load());
+        this->network.put(this->settings.address, this->node.get());
+        this->node->start();
+    }
+    void stop()
+    {
+        this->network.put(this->settings.address, nullptr);
+        if (this->node)
+            this->node->stop();
+        this->node.reset();
+    }
+    void wipe()
+    {
+        this->stop();
+        Poco::File(this->settings.dataFolder).remove(true);
+        Poco::File(this->settings.dataFolder).createDirectories();
+    }
+
+    RecordNodeSettings settings;
+    std::unique_ptr<RecordNode> node;
+
+private:
+    SystemClock clock;
+    Counters counters;
+    LoopbackPeers peers;
+    LoopbackNetwork& network;
+    ObjectStore& store;
+};
+
+bool waitFor(const std::function<bool()>& condition)
+{
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(15);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return true;
+}
+
+} // namespace
+
+class RecordStoreTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RecordStoreTest);
+    CPPUNIT_TEST(budgetHoldsOverEveryMajority);
+    CPPUNIT_TEST(turnsSurviveALostDisk);
+    CPPUNIT_TEST(unknownTurnIsAbsentOnlyWhenAllSaySo);
+    CPPUNIT_TEST(wipedNodeVotesOnlyAfterItHasFetchedAll);
+    CPPUNIT_TEST(replacedNodeKeepsTheBudget);
+    CPPUNIT_TEST(retiredNodeLeavesEnoughCopies);
+    CPPUNIT_TEST(platformKeepsTurnsWithoutDisks);
+    CPPUNIT_TEST(restartWithoutThePlatformServesAtOnce);
+    CPPUNIT_TEST(settledTokensAreFreeAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+    LoopbackNetwork network;
+    InMemoryObjectStore store;
+    SystemClock clock;
+    Counters counters;
+    std::vector<std::unique_ptr<TestNode>> nodes;
+    std::unique_ptr<LoopbackPeers> clientPeers;
+    std::unique_ptr<RecordClient> client;
+
+public:
+    void setUp() override
+    {
+        const char* dataCentres[] { "a", "b", "c" };
+        for (int i = 0; i < 3; ++i) {
+            this->nodes.push_back(
+                std::make_unique<TestNode>("n" + std::to_string(7001 + i), dataCentres[i], this->network, this->store));
+            this->nodes.back()->start(true);
+        }
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(3); }));
+        this->clientPeers = std::make_unique<LoopbackPeers>(this->network, "10.0.0.1:9000");
+        this->client = this->newClient();
+    }
+
+    void tearDown() override
+    {
+        this->client->stop();
+        this->client.reset();
+        this->nodes.clear();
+    }
+
+private:
+    std::unique_ptr<RecordClient> newClient()
+    {
+        RecordClientSettings settings;
+        settings.dataCentre = "a";
+        auto made = std::make_unique<RecordClient>(
+            settings, RecordNodeParts { this->clock, this->store, *this->clientPeers, this->counters });
+        made->start();
+        CPPUNIT_ASSERT(waitFor([&] { return made->roster().epoch > 0; }));
+        return made;
+    }
+
+    // All running nodes are ready and know the same roster of `members`.
+    bool allAgree(std::size_t members)
+    {
+        std::uint64_t epoch = 0;
+        for (const auto& entry : this->nodes) {
+            if (!entry->node || entry->node->retired())
+                continue;
+            Roster roster = entry->node->roster();
+            if (!entry->node->ready() || roster.members.size() != members || (epoch != 0 && roster.epoch != epoch))
+                return false;
+            epoch = roster.epoch;
+        }
+        return epoch != 0;
+    }
+
+    TimePoint soon() const { return this->clock.now() + std::chrono::seconds(3); }
+
+    GrantStatus reserve(const std::string& request, std::uint64_t tokens = 100, std::uint64_t budget = 1000)
+    {
+        return this->client->reserve({ "program", request, tokens, budget, std::chrono::seconds(60) }, this->soon())
+            .status;
+    }
+
+    bool keep(const std::string& id, const std::string& previous)
+    {
+        return this->client->keep(
+            { id, previous, "program", "in-" + id + ";", "out-" + id + ";", std::chrono::seconds(60) }, this->soon());
+    }
+
+    // Grants of 100 tokens until the budget of 1000 is spent, each with another node cut off.
+    int grantUntilSpent(const std::string& prefix)
+    {
+        int granted = 0;
+        for (int i = 0; i < 30; ++i) {
+            std::string cut = this->nodes[static_cast<std::size_t>(i) % this->nodes.size()]->settings.address;
+            this->network.cut(cut, true);
+            granted += this->reserve(prefix + std::to_string(i)) == GrantStatus::Granted ? 1 : 0;
+            this->network.cut(cut, false);
+        }
+        return granted;
+    }
+
+    // Majorities that change with each grant must not forget what an earlier one has granted.
+    void budgetHoldsOverEveryMajority()
+    {
+        CPPUNIT_ASSERT_EQUAL(10, this->grantUntilSpent("r"));
+        CPPUNIT_ASSERT(this->reserve("more") == GrantStatus::Exhausted);
+        for (const auto& entry : this->nodes) {
+            entry->stop();
+            entry->start(false);
+        }
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(3); }));
+        CPPUNIT_ASSERT(this->reserve("after restart") == GrantStatus::Exhausted);
+    }
+
+    void turnsSurviveALostDisk()
+    {
+        CPPUNIT_ASSERT(this->keep("t1", "") && this->keep("t2", "t1"));
+        this->nodes[1]->wipe();
+        this->nodes[1]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(3); }));
+        this->nodes[0]->wipe();
+        this->nodes[2]->stop();
+        this->client->stop();
+        this->client = this->newClient(); // nothing is cached
+        Chain chain = this->client->chain("t2", this->soon());
+        CPPUNIT_ASSERT(chain.status == ChainStatus::Found);
+        CPPUNIT_ASSERT_EQUAL(std::string("in-t1;out-t1;in-t2;out-t2;"), chain.text);
+    }
+
+    // "There is no such turn" must not be said while a node that may hold it can't be asked.
+    void unknownTurnIsAbsentOnlyWhenAllSaySo()
+    {
+        CPPUNIT_ASSERT(this->client->chain("none", this->soon()).status == ChainStatus::Absent);
+        this->network.cut(this->nodes[2]->settings.address, true);
+        CPPUNIT_ASSERT(this->client->chain("none", this->soon()).status == ChainStatus::Unavailable);
+        this->network.cut(this->nodes[2]->settings.address, false);
+        this->store.setUnavailable(true);
+        CPPUNIT_ASSERT(this->client->chain("none", this->soon()).status == ChainStatus::Unavailable);
+        this->store.setUnavailable(false);
+        CPPUNIT_ASSERT(this->client->chain("none", this->soon()).status == ChainStatus::Absent);
+    }
+
+    void wipedNodeVotesOnlyAfterItHasFetchedAll()
+    {
+        CPPUNIT_ASSERT_EQUAL(10, this->grantUntilSpent("r"));
+        this->nodes[0]->wipe();
+        this->network.cut(this->nodes[1]->settings.address, true);
+        this->nodes[0]->start(false);
+        std::this_thread::sleep_for(milliseconds(600));
+        CPPUNIT_ASSERT(!this->nodes[0]->node->ready()); // one of the two others is missing
+        CPPUNIT_ASSERT(this->reserve("early") != GrantStatus::Granted);
+        this->network.cut(this->nodes[1]->settings.address, false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->nodes[0]->node->ready(); }));
+        this->network.cut(this->nodes[2]->settings.address, true);
+        CPPUNIT_ASSERT(this->reserve("later") == GrantStatus::Exhausted);
+    }
+
+    void replacedNodeKeepsTheBudget()
+    {
+        CPPUNIT_ASSERT_EQUAL(10, this->grantUntilSpent("r"));
+        this->nodes[2]->stop();
+        this->nodes.push_back(std::make_unique<TestNode>("n7004", "c", this->network, this->store));
+        this->nodes[3]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(3); }));
+        CPPUNIT_ASSERT(this->nodes[0]->node->roster().find("n7003") == nullptr);
+        this->network.cut(this->nodes[0]->settings.address, true);
+        CPPUNIT_ASSERT(this->reserve("new majority") == GrantStatus::Exhausted);
+        this->network.cut(this->nodes[0]->settings.address, false);
+        // The old node comes back and joins again as a fourth.
+        this->nodes[2]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(4); }));
+        CPPUNIT_ASSERT(this->reserve("old node back") == GrantStatus::Exhausted);
+    }
+
+    void retiredNodeLeavesEnoughCopies()
+    {
+        this->network.cut(this->nodes[1]->settings.address, true);
+        CPPUNIT_ASSERT(this->keep("t1", "")); // on the first and the third node
+        this->network.cut(this->nodes[1]->settings.address, false);
+        this->nodes[2]->node->retire();
+        CPPUNIT_ASSERT(waitFor([this] { return this->nodes[2]->node->retired(); }));
+        this->nodes[2]->wipe();
+        this->nodes[0]->wipe();
+        this->client->stop();
+        this->client = this->newClient();
+        CPPUNIT_ASSERT(this->client->chain("t1", this->soon()).status == ChainStatus::Found);
+    }
+
+    void platformKeepsTurnsWithoutDisks()
+    {
+        this->network.cut(this->nodes[1]->settings.address, true);
+        this->network.cut(this->nodes[2]->settings.address, true);
+        CPPUNIT_ASSERT(this->keep("t1", ""));
+        this->store.setUnavailable(true);
+        CPPUNIT_ASSERT(!this->keep("t2", "t1"));
+        this->store.setUnavailable(false);
+        this->nodes[0]->wipe();
+        this->network.cut(this->nodes[1]->settings.address, false);
+        this->network.cut(this->nodes[2]->settings.address, false);
+        this->client->stop();
+        this->client = this->newClient();
+        CPPUNIT_ASSERT(this->client->chain("t1", this->soon()).status == ChainStatus::Found);
+    }
+
+    // After all VMs lost power while the platform is down, what the disks hold must be enough.
+    void restartWithoutThePlatformServesAtOnce()
+    {
+        CPPUNIT_ASSERT(this->keep("t1", ""));
+        this->store.setUnavailable(true);
+        for (const auto& entry : this->nodes) {
+            entry->stop();
+            entry->start(false);
+            CPPUNIT_ASSERT(entry->node->ready());
+        }
+        CPPUNIT_ASSERT(this->reserve("r") == GrantStatus::Granted);
+        CPPUNIT_ASSERT(this->client->chain("t1", this->soon()).status == ChainStatus::Found);
+        this->store.setUnavailable(false);
+    }
+
+    void settledTokensAreFreeAgain()
+    {
+        CPPUNIT_ASSERT(this->reserve("r1", 900) == GrantStatus::Granted);
+        CPPUNIT_ASSERT(this->reserve("r2", 200) == GrantStatus::Exhausted);
+        this->client->settle({ "program", "r1", 900, 1000, std::chrono::seconds(60) }, 100);
+        CPPUNIT_ASSERT(this->reserve("r3", 900) == GrantStatus::Granted);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RecordStoreTest);
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/records/RecordTableTest.cpp
@@ -0,0 +1,121 @@
+#include "lovagecross/records/RecordTable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lovagecross {
+
+namespace {
+
+StoredTurn turn(const std::string& id, const std::string& previous, std::int64_t expires = 1000)
+{
+    return { id, previous, "in-" + id, "out-" + id, "p", expires };
+}
+
+Reservation reservation(
+    const std::string& request, std::uint64_t tokens, bool settled = false, std::int64_t expires = 1000)
+{
+    return { "p", request, tokens, settled, expires };
+}
+
+} // namespace
+
+class RecordTableTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RecordTableTest);
+    CPPUNIT_TEST(chainsGoBackToTheStart);
+    CPPUNIT_TEST(settlingReplacesOnce);
+    CPPUNIT_TEST(continuedTurnsOutliveTheirOwnTime);
+    CPPUNIT_TEST(programsExpireWhole);
+    CPPUNIT_TEST(recordsComeInPagesInTheOrderOfArrival);
+    CPPUNIT_TEST_SUITE_END();
+
+    void chainsGoBackToTheStart()
+    {
+        RecordTable table;
+        table.add(turn("a", ""));
+        table.add(turn("b", "a"));
+        table.add(turn("b2", "a"));
+        table.add(turn("c", "lost"));
+        bool start = false;
+        auto chain = table.chain("b2", start);
+        CPPUNIT_ASSERT(start && chain.size() == 2 && chain[0].id == "b2" && chain[1].id == "a");
+        chain = table.chain("c", start);
+        CPPUNIT_ASSERT(!start && chain.size() == 1);
+        CPPUNIT_ASSERT(table.chain("lost", start).empty());
+        CPPUNIT_ASSERT(!table.add(turn("a", "x")));
+    }
+
+    // A late reservation after its settlement would count tokens that were never used.
+    void settlingReplacesOnce()
+    {
+        RecordTable table;
+        table.add(reservation("r1", 100));
+        table.add(reservation("r2", 50));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(50), usedTokens(table.reservationsOf("p"), "r1"));
+        CPPUNIT_ASSERT(table.add(reservation("r1", 30, true)));
+        CPPUNIT_ASSERT(!table.add(reservation("r1", 100)));
+        CPPUNIT_ASSERT(!table.add(reservation("r1", 10, true)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(80), usedTokens(table.reservationsOf("p"), ""));
+        table.add(reservation("r3", 0, true)); // settled before its reservation arrived
+        CPPUNIT_ASSERT(!table.add(reservation("r3", 100)));
+    }
+
+    // A conversation is kept as a whole for the retention of its newest turn.
+    void continuedTurnsOutliveTheirOwnTime()
+    {
+        RecordTable table;
+        table.add(turn("a", "", 1000));
+        table.add(turn("b", "a", 2000));
+        table.add(turn("other", "", 1000));
+        table.expire(1500);
+        bool start = false;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.chain("b", start).size());
+        CPPUNIT_ASSERT(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.turnCount());
+        table.expire(2500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.turnCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.bytes());
+    }
+
+    // A part of a program's reservations would show used tokens as free.
+    void programsExpireWhole()
+    {
+        RecordTable table;
+        table.add(reservation("r1", 100, true, 1000));
+        table.add(reservation("r2", 50, true, 2000));
+        table.expire(1500);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(150), usedTokens(table.reservationsOf("p"), ""));
+        table.expire(2500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.programCount());
+    }
+
+    void recordsComeInPagesInTheOrderOfArrival()
+    {
+        RecordTable table;
+        for (int i = 0; i < 100; ++i)
+            table.add(turn("t" + std::to_string(i), ""));
+        table.add(reservation("r1", 100));
+        table.add(reservation("r1", 30, true));
+        std::uint64_t position = 0;
+        bool last = false;
+        std::size_t turns = 0;
+        std::size_t settled = 0;
+        int pages = 0;
+        while (!last) {
+            for (const StoredRecord& record : table.recordsAfter(position, 100, position, last)) {
+                if (std::holds_alternative<StoredTurn>(record))
+                    ++turns;
+                else
+                    settled += std::get<Reservation>(record).settled ? 1 : 0;
+            }
+            ++pages;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(100), turns);
+        CPPUNIT_ASSERT(settled >= 1 && pages > 5);
+        table.add(turn("new", ""));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.recordsAfter(position, 100, position, last).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RecordTableTest);
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/records/RosterTest.cpp
@@ -0,0 +1,126 @@
+#include "lovagecross/records/Roster.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+
+namespace lovagecross {
+
+namespace {
+
+RosterMember member(const std::string& node, const std::string& dataCentre, std::uint64_t disk = 1)
+{
+    return { node, disk, "10.0.0.1:70" + node.substr(1), dataCentre };
+}
+
+Roster threeMembers()
+{
+    return { 4, { member("n10", "a"), member("n20", "b"), member("n30", "c") } };
+}
+
+Roster nineMembers()
+{
+    Roster roster { 9, {} };
+    for (int i = 0; i < 9; ++i)
+        roster.members.push_back(member("n" + std::to_string(10 + i), std::string(1, static_cast<char>('a' + i % 3))));
+    return roster;
+}
+
+} // namespace
+
+class RosterTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RosterTest);
+    CPPUNIT_TEST(printedRosterParses);
+    CPPUNIT_TEST(badRostersNameTheField);
+    CPPUNIT_TEST(replicasSurviveADataCentre);
+    CPPUNIT_TEST(copiesMustSpreadOverDataCentres);
+    CPPUNIT_TEST(joiningReplacesTheRightMember);
+    CPPUNIT_TEST(gainedGroupsAreToldWhenTheRosterChanges);
+    CPPUNIT_TEST_SUITE_END();
+
+    void printedRosterParses()
+    {
+        Roster roster = threeMembers();
+        Roster parsed = handle([&] { return parseRoster(printRoster(roster)); },
+            [](const Error& error) -> Roster {
+                CPPUNIT_FAIL(error.field + ": " + error.message);
+                return {};
+            });
+        CPPUNIT_ASSERT(parsed == roster);
+    }
+
+    void badRostersNameTheField()
+    {
+        auto fieldOf = [](const char* json) {
+            return handle(
+                [&]() -> Result<std::string> {
+                    BOOST_LEAF_CHECK(parseRoster(json));
+                    return std::string("accepted");
+                },
+                [](const Error& error) { return error.field; });
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("epoch"), fieldOf(R"({"members":[]})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("members[0].address"),
+            fieldOf(R"({"epoch":1,"members":[{"node":"a","disk":1,"address":"x","dataCentre":"a"}]})"));
+    }
+
+    // A set of replicas whose majority lies in one data centre stops with it.
+    void replicasSurviveADataCentre()
+    {
+        Roster roster = nineMembers();
+        Tolerance tolerance { 2, 1 };
+        std::set<std::string> used;
+        for (int i = 0; i < 200; ++i) {
+            auto replicas = replicasOf(roster, "program" + std::to_string(i), tolerance);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(5), replicas.size());
+            for (const char* lost : { "a", "b", "c" }) {
+                auto left = std::count_if(replicas.begin(), replicas.end(),
+                    [&](const RosterMember* replica) { return replica->dataCentre != lost; });
+                CPPUNIT_ASSERT(static_cast<std::size_t>(left) >= majorityOf(5));
+            }
+            for (const RosterMember* replica : replicas)
+                used.insert(replica->node);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(9), used.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), replicasOf(threeMembers(), "p", { 1, 1 }).size());
+        CPPUNIT_ASSERT(replicasOf({}, "p", { 1, 1 }).empty());
+    }
+
+    void copiesMustSpreadOverDataCentres()
+    {
+        Roster roster = nineMembers();
+        Tolerance tolerance { 1, 1 };
+        CPPUNIT_ASSERT(!enoughCopies({ &roster.members[0] }, tolerance));
+        CPPUNIT_ASSERT(!enoughCopies({ &roster.members[0], &roster.members[3] }, tolerance)); // both in a
+        CPPUNIT_ASSERT(enoughCopies({ &roster.members[0], &roster.members[1] }, tolerance));
+    }
+
+    void joiningReplacesTheRightMember()
+    {
+        Roster roster = threeMembers();
+        Roster wiped = withMember(roster, member("n20", "b", 77), { "n10" });
+        CPPUNIT_ASSERT(wiped.members.size() == 3 && wiped.find("n20")->disk == 77 && wiped.find("n10") != nullptr);
+        Roster replaced = withMember(roster, member("n40", "b"), { "n10", "n20" });
+        CPPUNIT_ASSERT(replaced.members.size() == 3 && replaced.find("n20") == nullptr && replaced.epoch == 5);
+        Roster grown = withMember(roster, member("n40", "b"), {});
+        CPPUNIT_ASSERT(grown.members.size() == 4);
+        CPPUNIT_ASSERT(withoutMember(grown, "n30").members.size() == 3);
+    }
+
+    // A member that votes for groups whose records it never fetched forgets what was granted.
+    void gainedGroupsAreToldWhenTheRosterChanges()
+    {
+        Tolerance tolerance { 1, 1 };
+        Roster three = threeMembers();
+        Roster four = withMember(three, member("n40", "b"), {});
+        CPPUNIT_ASSERT(mayGainGroups(three, four, "n40", tolerance));
+        CPPUNIT_ASSERT(!mayGainGroups(three, four, "n10", tolerance)); // was a replica of every group
+        CPPUNIT_ASSERT(mayGainGroups(four, withoutMember(four, "n30"), "n10", tolerance));
+        CPPUNIT_ASSERT(mayGainGroups(three, withMember(three, member("n10", "a", 5), {}), "n10", tolerance));
+        CPPUNIT_ASSERT(!mayGainGroups(three, withoutMember(three, "n10"), "n10", tolerance));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RosterTest);
+
+} // namespace lovagecross
