--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -387,6 +387,8 @@
     TimePoint lastByteAt = this->parts.clock.now();
     if (!this->headWritten && !this->writeStreamHead())
         return Step::Left;
+    // Before the end is written: the caller's next turn may come right after it.
+    this->settleTokens();
     if (found.keepsTurns) {
         TurnRecord record { this->call.requestId, this->call.previousTurn, this->call.program,
             std::move(this->callerText), std::move(this->output), found.retention };
