Let record nodes publish the directory to entry nodes

Change: record nodes follow the platform; entry nodes ask the one of their data centre twice a second and read the platform only while no record node is fresh. DirectoryFollowerTest covers stale and missing publishers.

--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -133,6 +133,44 @@
         && request.path.size() <= maxPathBytes;
 }
 
+void write(const DirectoryUpdate& update, proto::DirectoryUpdate* out)
+{
+    out->set_registry_known(update.registryKnown);
+    out->set_registry_age_millis(update.registryAgeMillis);
+    out->set_registry_revision(update.registryRevision);
+    out->set_servers_changed_at(update.serversChangedAt);
+    out->set_has_servers(update.hasServers);
+    out->set_configuration_document(update.configurationDocument);
+    for (const DirectoryServer& server : update.servers) {
+        proto::DirectoryServer* entry = out->add_servers();
+        entry->set_id(server.id);
+        entry->set_service(server.service);
+        entry->set_address(server.address);
+        entry->set_data_centre(server.dataCentre);
+        entry->set_slots(server.slots);
+        entry->set_draining(server.draining);
+        entry->set_cold_millis(server.coldMillis);
+        entry->set_started_unix_millis(server.startedUnixMillis);
+    }
+}
+
+bool read(const proto::DirectoryUpdate& in, DirectoryUpdate& update)
+{
+    update.registryKnown = in.registry_known();
+    update.registryAgeMillis = in.registry_age_millis();
+    update.registryRevision = in.registry_revision();
+    update.serversChangedAt = in.servers_changed_at();
+    update.hasServers = in.has_servers();
+    update.configurationDocument = in.configuration_document();
+    for (const proto::DirectoryServer& entry : in.servers()) {
+        if (!isAddressText(entry.address()))
+            return false;
+        update.servers.push_back({ entry.id(), entry.service(), entry.address(), entry.data_centre(), entry.slots(),
+            entry.draining(), entry.cold_millis(), entry.started_unix_millis() });
+    }
+    return update.registryAgeMillis >= 0;
+}
+
 // One overload for each kind of request and control message.
 struct BodyWriter {
     proto::Envelope& out;
@@ -172,6 +210,11 @@
         forward->set_hops(request.hops);
     }
     void operator()(const RecordCall& call) const { this->out.mutable_record_call()->set_content(call.content); }
+    void operator()(const DirectoryFetch& fetch) const
+    {
+        this->out.mutable_directory_fetch()->set_configuration_version(fetch.configurationVersion);
+        this->out.mutable_directory_fetch()->set_servers_changed_at(fetch.serversChangedAt);
+    }
     void operator()(const ForwardCancel&) const { this->out.mutable_cancel(); }
     void operator()(const ForwardChunk& chunk) const
     {
@@ -240,6 +283,10 @@
     case proto::Envelope::kRecordCall:
         request = RecordCall { in.record_call().content() };
         return true;
+    case proto::Envelope::kDirectoryFetch:
+        request = DirectoryFetch { in.directory_fetch().configuration_version(),
+            in.directory_fetch().servers_changed_at() };
+        return true;
     default:
         return false;
     }
@@ -309,6 +356,7 @@
         this->out.mutable_end()->set_http_status(end.httpStatus);
         this->out.mutable_end()->set_body_json(end.bodyJson);
     }
+    void operator()(const DirectoryUpdate& update) const { write(update, this->out.mutable_directory_update()); }
     void operator()(const RecordReply& reply) const { this->out.mutable_record_reply()->set_content(reply.content); }
 };
 
@@ -367,6 +415,12 @@
     case proto::Answer::kRecordReply:
         answer = RecordReply { in.record_reply().content() };
         return true;
+    case proto::Answer::kDirectoryUpdate: {
+        DirectoryUpdate update;
+        bool valid = read(in.directory_update(), update);
+        answer = std::move(update);
+        return valid;
+    }
     default:
         return false;
     }
@@ -429,6 +483,7 @@
         bool operator()(const Gossip&) const { return std::holds_alternative<Gossip>(this->answer); }
         bool operator()(const ConfigFetch&) const { return std::holds_alternative<ConfigDocument>(this->answer); }
         bool operator()(const ForwardRequest&) const { return std::holds_alternative<ForwardEnd>(this->answer); }
+        bool operator()(const DirectoryFetch&) const { return std::holds_alternative<DirectoryUpdate>(this->answer); }
         bool operator()(const RecordCall&) const { return std::holds_alternative<RecordReply>(this->answer); }
     };
     return std::visit(Matcher { answer }, request);
--- a/lovagecross/adapters/ZmqPeers.cpp
+++ b/lovagecross/adapters/ZmqPeers.cpp
@@ -87,7 +87,7 @@
         return Purpose::Promise;
     if (std::holds_alternative<Gossip>(request))
         return Purpose::Gossip;
-    if (std::holds_alternative<ConfigFetch>(request))
+    if (std::holds_alternative<ConfigFetch>(request) || std::holds_alternative<DirectoryFetch>(request))
         return Purpose::Config;
     if (std::holds_alternative<RecordCall>(request))
         return Purpose::Record;
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -9,6 +9,8 @@
 #include "lovagecross/gateway/Gateway.h"
 #include "lovagecross/records/RecordClient.h"
 #include "lovagecross/records/RecordNode.h"
+#include "lovagecross/sharing/DirectoryFollower.h"
+#include "lovagecross/sharing/DirectoryPublisher.h"
 #include "platform/Feeds.h"
 #include "platform/HeaderCodec.h"
 #include "platform/ObjectApi.h"
@@ -39,6 +41,7 @@
 constexpr std::size_t leastConnections = 128;
 constexpr std::size_t mostConnections = 2000;
 constexpr std::size_t cacheShareOfMemory = 8;
+constexpr std::uint32_t maxPublishers = 100; // more than there are record nodes: all of them are ranked
 
 Tolerance toleranceOf(const NodeSettings& settings)
 {
@@ -99,16 +102,19 @@
     HttpListener listener;
 };
 
-// Answers the record messages that reach a node.
-class RecordMessageHandler final : public PeerHandler {
+// Answers the messages of other nodes.
+class MessageHandler final : public PeerHandler {
 public:
-    explicit RecordMessageHandler(std::function<RecordResponse(const RecordRequest&)> answer)
-        : respond(std::move(answer))
+    MessageHandler(const Directory& ownDirectory, std::function<RecordResponse(const RecordRequest&)> answer)
+        : directory(ownDirectory)
+        , respond(std::move(answer))
     {
     }
 
     PeerAnswer handlePeerRequest(const PeerRequest& request, const ChunkSink&) override
     {
+        if (const auto* fetch = std::get_if<DirectoryFetch>(&request))
+            return answerDirectoryFetch(this->directory, *fetch);
         const auto* call = std::get_if<RecordCall>(&request);
         auto message = call != nullptr ? decodeRecordRequest(call->content) : std::nullopt;
         if (!message)
@@ -117,6 +123,7 @@
     }
 
 private:
+    const Directory& directory;
     std::function<RecordResponse(const RecordRequest&)> respond;
 };
 
@@ -126,6 +133,7 @@
         : settings(given)
         , api({ .address = given.platformAddress }, this->clock, this->counters)
         , peers(peerSettings(given), this->counters)
+        , directory(this->clock)
         , recordParts { this->clock, this->api, this->peers, this->counters }
     {
     }
@@ -135,6 +143,7 @@
     Counters counters;
     platform::ObjectApi api;
     ZmqPeers peers;
+    Directory directory;
     RecordNodeParts recordParts;
 };
 
@@ -143,14 +152,14 @@
     explicit EntryNode(const NodeSettings& settings)
         : base(settings)
         , records(this->clientSettings(), this->base.recordParts)
-        , directory(this->base.clock)
         , book(this->base.clock, settings.dataCentre)
         , pool(this->base.clock, connectTimeout)
-        , parts { this->base.clock, this->directory, this->book, this->pool, this->codec, this->records, this->records,
-            GatewayCounters(this->base.counters) }
+        , parts { this->base.clock, this->base.directory, this->book, this->pool, this->codec, this->records,
+            this->records, GatewayCounters(this->base.counters) }
         , gateway({ settings.callerAddress, maxConnections(settings) }, this->parts)
-        , feed(this->base.api, this->directory, this->base.clock)
-        , messages([this](const RecordRequest& request) { return this->answer(request); })
+        , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock)
+        , feed(this->base.api, this->base.directory, this->base.clock, [this] { return !this->follower.upToDate(); })
+        , messages(this->base.directory, [this](const RecordRequest& request) { return this->answer(request); })
     {
     }
 
@@ -158,9 +167,10 @@
     {
         if (std::string problem = this->base.peers.start(this->messages); !problem.empty())
             return problem;
-        this->directory.onChange([this](const DirectoryView& view) { this->serversChanged(view); });
+        this->base.directory.onChange([this](const DirectoryView& view) { this->serversChanged(view); });
         this->records.start();
         this->feed.start();
+        this->steps.add([this] { return this->follower.step(this->publishers()); });
         this->gateway.start();
         const NodeSettings& settings = this->base.settings;
         this->ready = std::make_unique<StatusListener>(
@@ -168,7 +178,7 @@
         if (!settings.metricsAddress.empty())
             this->metrics = std::make_unique<StatusListener>(
                 settings.metricsAddress, this->base.counters, std::string(), [] { return std::string(); });
-        this->housekeeping.add([this] { return this->keepHouse(); });
+        this->steps.add([this] { return this->keepHouse(); });
         return {};
     }
 
@@ -205,7 +215,7 @@
     // Empty while the node takes calls.
     std::string notReadyReason() const
     {
-        auto view = this->directory.view();
+        auto view = this->base.directory.view();
         if (this->parts.draining)
             return "stopping";
         if (!view->configuration)
@@ -217,6 +227,21 @@
         return {};
     }
 
+    // Record nodes follow the registry for all; those of the own data centre are asked first.
+    std::vector<std::string> publishers() const
+    {
+        std::vector<std::string> addresses;
+        Roster roster = this->records.roster();
+        for (bool near : { true, false }) {
+            auto replicas = replicasOf(roster, this->base.settings.node, { maxPublishers, 0 });
+            for (const RosterMember* member : replicas) {
+                if ((member->dataCentre == this->base.settings.dataCentre) == near)
+                    addresses.push_back(member->address);
+            }
+        }
+        return addresses;
+    }
+
     RecordResponse answer(const RecordRequest& request) const
     {
         RecordResponse response;
@@ -243,7 +268,7 @@
     Duration keepHouse()
     {
         std::vector<std::string> ids;
-        auto view = this->directory.view();
+        auto view = this->base.directory.view();
         for (const auto& [service, servers] : view->servers) {
             for (const ServerEntry& server : servers)
                 ids.push_back(server.id);
@@ -254,17 +279,17 @@
 
     NodeBase base;
     RecordClient records;
-    Directory directory;
     ServerBook book;
     ConnectionPool pool;
     platform::HeaderCodec codec;
     GatewayParts parts;
     Gateway gateway;
+    DirectoryFollower follower;
     platform::DirectoryFeed feed;
-    RecordMessageHandler messages;
+    MessageHandler messages;
     std::unique_ptr<StatusListener> ready;
     std::unique_ptr<StatusListener> metrics;
-    platform::StepThreads housekeeping;
+    platform::StepThreads steps;
 };
 
 class StorageNode {
@@ -272,8 +297,9 @@
     explicit StorageNode(const NodeSettings& settings)
         : base(settings)
         , records(nodeSettings(settings), this->base.recordParts)
+        , feed(this->base.api, this->base.directory, this->base.clock)
         , retirements(this->base.api, this->records, settings.node)
-        , messages([this](const RecordRequest& request) { return this->records.handle(request); })
+        , messages(this->base.directory, [this](const RecordRequest& request) { return this->records.handle(request); })
     {
     }
 
@@ -284,6 +310,7 @@
         if (std::string problem = this->base.peers.start(this->messages); !problem.empty())
             return problem;
         this->records.start();
+        this->feed.start();
         this->retirements.start();
         if (!this->base.settings.metricsAddress.empty())
             this->metrics = std::make_unique<StatusListener>(
@@ -293,7 +320,6 @@
 
     void stop()
     {
-        this->retirements.stop();
         this->base.peers.stop();
         this->records.stop();
     }
@@ -314,8 +340,9 @@
 
     NodeBase base;
     RecordNode records;
+    platform::DirectoryFeed feed;
     platform::RetirementFeed retirements;
-    RecordMessageHandler messages;
+    MessageHandler messages;
     std::unique_ptr<StatusListener> metrics;
 };
 
--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -49,8 +49,7 @@
     std::set<std::string> listed;
     for (ServerEntry& entry : list) {
         listed.insert(entry.id);
-        this->lapsed.erase(entry.id);
-        this->servers[entry.id] = std::move(entry);
+        this->putServer(std::move(entry));
     }
     std::vector<std::string> missing;
     for (const auto& [id, entry] : this->servers) {
@@ -71,17 +70,43 @@
     this->registryReached(now);
     this->revision = newRevision;
     for (const ServerChange& change : changes) {
-        if (change.entry) {
-            this->lapsed.erase(change.id);
-            this->servers[change.id] = *change.entry;
-        } else if (this->servers.count(change.id) > 0) {
+        if (change.entry)
+            this->putServer(*change.entry);
+        else if (this->servers.count(change.id) > 0)
             this->removeServer(change.id, now);
-        }
     }
     if (!changes.empty())
         this->publish(lock);
 }
 
+void Directory::takeServers(
+    std::vector<ServerEntry> list, std::uint64_t newRevision, std::uint64_t listChangedAt, Duration age)
+{
+    std::unique_lock lock(this->mutex);
+    if (newRevision < this->revision)
+        return;
+    this->unreachable = false;
+    this->known = true;
+    this->lastRead = this->clock.now() - age;
+    this->revision = newRevision;
+    this->changedAt = listChangedAt;
+    this->servers.clear();
+    this->lapsed.clear();
+    for (ServerEntry& entry : list)
+        this->servers[entry.id] = std::move(entry);
+    this->publish(lock);
+}
+
+void Directory::confirmServers(std::uint64_t newRevision, Duration age)
+{
+    std::lock_guard lock(this->mutex);
+    if (newRevision < this->revision)
+        return;
+    this->revision = newRevision;
+    this->unreachable = false;
+    this->lastRead = this->clock.now() - age;
+}
+
 void Directory::registryUnreachable()
 {
     std::lock_guard lock(this->mutex);
@@ -100,6 +125,7 @@
         }
         this->servers.erase(it->first);
         it = this->lapsed.erase(it);
+        ++this->changedAt; // differs from what others were told; no revision of the store tells this
         changed = true;
     }
     if (changed)
@@ -132,6 +158,24 @@
     return now < this->removalsWaitUntil;
 }
 
+void Directory::putServer(ServerEntry entry)
+{
+    this->lapsed.erase(entry.id);
+    auto found = this->servers.find(entry.id);
+    // How long a server stays slow falls with every heartbeat; that alone is no change to tell others.
+    bool same = false;
+    if (found != this->servers.end()) {
+        ServerEntry before = found->second;
+        bool cold = before.coldFor > Duration(0);
+        before.coldFor = entry.coldFor;
+        same = before == entry && cold == (entry.coldFor > Duration(0));
+    }
+    if (!same)
+        this->changedAt = this->revision;
+    std::string id = entry.id;
+    this->servers[id] = std::move(entry);
+}
+
 void Directory::removeServer(const std::string& id, TimePoint now)
 {
     // A server that was leaving is not waited for.
@@ -142,6 +186,7 @@
     }
     this->lapsed.erase(id);
     this->servers.erase(id);
+    this->changedAt = this->revision;
 }
 
 void Directory::publish(std::unique_lock<std::mutex>& lock)
@@ -150,6 +195,7 @@
     view->configuration = this->configuration;
     view->routes = this->routes;
     view->registryRevision = this->revision;
+    view->serversChangedAt = this->changedAt;
     view->registryKnown = this->known;
     for (const auto& [id, entry] : this->servers)
         view->servers[entry.service].push_back(entry);
--- a/lovagecross/gateway/Directory.h
+++ b/lovagecross/gateway/Directory.h
@@ -31,6 +31,7 @@
     std::shared_ptr<const RouteTable> routes;
     std::map<std::string, std::vector<ServerEntry>, std::less<>> servers; // by service, in the order of their ids
     std::uint64_t registryRevision = 0;
+    std::uint64_t serversChangedAt = 0; // registry revision of the last change of `servers`
     bool registryKnown = false;
 
     const std::vector<ServerEntry>& serversOf(std::string_view service) const;
@@ -54,6 +55,13 @@
     void replaceServers(std::vector<ServerEntry> servers, std::uint64_t revision);
     void changeServers(const std::vector<ServerChange>& changes, std::uint64_t revision);
 
+    // A list that another node has read and whose removals it has already waited for.
+    void takeServers(
+        std::vector<ServerEntry> servers, std::uint64_t newRevision, std::uint64_t changedAt, Duration age);
+
+    // Another node has read the registry `age` ago and found no change since `changedAt`.
+    void confirmServers(std::uint64_t newRevision, Duration age);
+
     // The registry can't be read from now on; the next successful call ends that.
     void registryUnreachable();
 
@@ -71,6 +79,7 @@
 private:
     void registryReached(TimePoint now);
     bool removalsWait(TimePoint now) const;
+    void putServer(ServerEntry entry);
     void removeServer(const std::string& id, TimePoint now);
     void publish(std::unique_lock<std::mutex>& lock);
 
@@ -82,6 +91,7 @@
     std::map<std::string, ServerEntry> servers; // by id
     std::map<std::string, TimePoint> lapsed; // ids that vanished in an outage, and when they are removed
     std::uint64_t revision = 0;
+    std::uint64_t changedAt = 0;
     bool known = false;
     bool unreachable = false;
     TimePoint lastRead;
--- a/lovagecross/gateway/Route.h
+++ b/lovagecross/gateway/Route.h
@@ -89,6 +89,7 @@
     std::vector<Route> routes;
     std::map<std::string, ServiceSpec, std::less<>> services;
     CallerLimits limits;
+    std::string document; // in the platform's own form, to hand on to other nodes
 };
 
 class RouteTable {
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -132,10 +132,37 @@
     std::string content;
 };
 
+// Asks a node that follows the registry for what differs from what the asking node knows.
+struct DirectoryFetch {
+    std::uint64_t configurationVersion = 0; // 0: none is known
+    std::uint64_t serversChangedAt = 0; // registry revision of the last change known; 0: no servers are known
+};
+
+struct DirectoryServer {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string dataCentre;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    std::int64_t coldMillis = 0;
+    std::int64_t startedUnixMillis = 0;
+};
+
+struct DirectoryUpdate {
+    bool registryKnown = false;
+    std::int64_t registryAgeMillis = 0; // since the answering node read it with success
+    std::uint64_t registryRevision = 0;
+    std::uint64_t serversChangedAt = 0;
+    bool hasServers = false; // `servers` is the whole list; otherwise it is as the asking node knows it
+    std::vector<DirectoryServer> servers;
+    std::string configurationDocument; // in the platform's own form; empty unless it is newer
+};
+
 using PeerRequest = std::variant<PromiseRequest, BridgeBatch, BridgeTrim, BridgeFetch, Gossip, ConfigFetch,
-    ForwardRequest, RecordCall>;
+    ForwardRequest, RecordCall, DirectoryFetch>;
 using PeerAnswer = std::variant<std::monostate, PromiseAnswer, BridgeAnswer, BridgeCopies, Gossip, ConfigDocument,
-    ForwardEnd, RecordReply>;
+    ForwardEnd, RecordReply, DirectoryUpdate>;
 
 enum class PeerStatus {
     Ok,
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -15,7 +15,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration rosterInterval = std::chrono::seconds(3);
+constexpr Duration rosterInterval = std::chrono::seconds(10); // changes also come with the answers of members
 constexpr Duration rosterRetryInterval = milliseconds(300); // while none is known
 constexpr Duration inspectTimeout = milliseconds(500);
 constexpr Duration voteTimeout = milliseconds(300); // of one round; a lost packet comes again after 200 ms
--- a/lovagecross/records/RecordNode.cpp
+++ b/lovagecross/records/RecordNode.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration maintainInterval = milliseconds(200);
-constexpr Duration refreshInterval = std::chrono::seconds(2);
+constexpr Duration refreshInterval = std::chrono::seconds(4); // changes also come from the members that make them
 constexpr Duration expiryInterval = std::chrono::seconds(5);
 constexpr Duration inspectTimeout = milliseconds(500);
 constexpr Duration fillTimeout = milliseconds(1500);
--- a/lovagecross/runtime/Node.cpp
+++ b/lovagecross/runtime/Node.cpp
@@ -96,8 +96,9 @@
         return this->node.router().serveForwarded(request, this->sink);
     }
 
-    // Record messages are for record nodes only.
+    // For nodes on a platform with a registry only.
     PeerAnswer operator()(const RecordCall&) const { return {}; }
+    PeerAnswer operator()(const DirectoryFetch&) const { return {}; }
 };
 
 } // namespace
--- /dev/null
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -0,0 +1,98 @@
+#include "lovagecross/sharing/DirectoryFollower.h"
+
+#include "lovagecross/adapters/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagecross {
+
+namespace {
+
+constexpr std::size_t publishersAsked = 3; // in one step
+constexpr Duration pauseAfterFailure = std::chrono::milliseconds(200);
+
+ServerEntry fromMessage(const DirectoryServer& message)
+{
+    ServerEntry entry;
+    entry.id = message.id;
+    entry.service = message.service;
+    entry.address = message.address;
+    entry.dataCentre = message.dataCentre;
+    entry.slots = message.slots;
+    entry.state = message.draining ? ServerState::Draining : ServerState::Ready;
+    entry.coldFor = std::chrono::milliseconds(message.coldMillis);
+    entry.startedUnixMillis = message.startedUnixMillis;
+    return entry;
+}
+
+} // namespace
+
+DirectoryFollower::DirectoryFollower(DirectoryFollowerSettings followerSettings, PeerClient& peerClient,
+    Directory& target, ConfigurationDecoder configurationDecoder, const Clock& givenClock)
+    : settings(followerSettings)
+    , peers(peerClient)
+    , directory(target)
+    , decode(std::move(configurationDecoder))
+    , clock(givenClock)
+{
+}
+
+Duration DirectoryFollower::step(const std::vector<std::string>& publishers)
+{
+    TimePoint start = this->clock.now();
+    bool found = false;
+    for (std::size_t i = 0; i < std::min(publishers.size(), publishersAsked) && !found; ++i)
+        found = this->ask(publishers[i]);
+    if (found != this->fresh.exchange(found))
+        LogLine(LogLevel::Info, found ? "dependency_regained" : "dependency_lost")
+            .field("dependency", "directory_publishers")
+            .field("publishers", publishers.size())
+            .write();
+    if (!found)
+        return pauseAfterFailure;
+    return std::max<Duration>(this->settings.interval - (this->clock.now() - start), std::chrono::milliseconds(1));
+}
+
+bool DirectoryFollower::ask(const std::string& publisher)
+{
+    auto view = this->directory.view();
+    DirectoryFetch fetch;
+    fetch.configurationVersion = view->configuration ? view->configuration->version : 0;
+    fetch.serversChangedAt = view->registryKnown ? view->serversChangedAt : 0;
+    PeerResult result = this->peers.request(publisher, fetch, this->settings.timeout, {});
+    const auto* update = std::get_if<DirectoryUpdate>(&result.answer);
+    if (result.status != PeerStatus::Ok || update == nullptr)
+        return false;
+    this->take(*update);
+    return update->registryKnown && update->registryAgeMillis <= toMillis(this->settings.oldestRegistry);
+}
+
+void DirectoryFollower::take(const DirectoryUpdate& update)
+{
+    Duration age = std::chrono::milliseconds(update.registryAgeMillis);
+    if (update.registryKnown && update.hasServers) {
+        std::vector<ServerEntry> servers;
+        for (const DirectoryServer& server : update.servers)
+            servers.push_back(fromMessage(server));
+        this->directory.takeServers(std::move(servers), update.registryRevision, update.serversChangedAt, age);
+    } else if (update.registryKnown) {
+        this->directory.confirmServers(update.registryRevision, age);
+    }
+    if (update.configurationDocument.empty())
+        return;
+    auto configuration = this->decode(update.configurationDocument);
+    if (!configuration)
+        return;
+    std::uint64_t version = configuration->version;
+    std::size_t routes = configuration->routes.size();
+    if (this->directory.applyConfiguration(std::move(*configuration)))
+        LogLine(LogLevel::Info, "configuration")
+            .field("version", version)
+            .field("routes", routes)
+            .field("from", "publisher")
+            .field("inForce", true)
+            .write();
+}
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/sharing/DirectoryFollowerTest.cpp
@@ -0,0 +1,155 @@
+#include "lovagecross/sharing/DirectoryFollower.h"
+
+#include "lovagecross/sharing/DirectoryPublisher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+namespace lovagecross {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Publishers by address; an address without one doesn't answer.
+class PublisherPeers final : public PeerClient {
+public:
+    PeerResult request(const std::string& address, const PeerRequest& request, Duration, const ChunkSink&) override
+    {
+        ++this->asked;
+        auto found = this->publishers.find(address);
+        if (found == this->publishers.end())
+            return { PeerStatus::NoAnswer, {} };
+        return { PeerStatus::Ok, answerDirectoryFetch(*found->second, std::get<DirectoryFetch>(request)) };
+    }
+    std::vector<PeerResult> requestAll(
+        const std::vector<std::string>&, const PeerRequest&, Duration, const EnoughAnswers&) override
+    {
+        return {};
+    }
+    void notify(const std::string&, const PeerRequest&) override { }
+    void abandonForwards(const std::string&) override { }
+
+    std::map<std::string, const Directory*> publishers;
+    int asked = 0;
+};
+
+ServerEntry server(const std::string& id, ServerState state = ServerState::Ready)
+{
+    ServerEntry entry;
+    entry.id = id;
+    entry.service = "tool";
+    entry.address = "127.0.0.1:1";
+    entry.state = state;
+    return entry;
+}
+
+GatewayConfiguration configuration(std::uint64_t version)
+{
+    GatewayConfiguration made;
+    made.version = version;
+    made.document = std::to_string(version);
+    return made;
+}
+
+std::optional<GatewayConfiguration> decode(const std::string& document)
+{
+    return configuration(std::stoull(document));
+}
+
+} // namespace
+
+class DirectoryFollowerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DirectoryFollowerTest);
+    CPPUNIT_TEST(changesArriveInOneStep);
+    CPPUNIT_TEST(unchangedListsAreNotSentAgain);
+    CPPUNIT_TEST(stalePublisherIsLeftForAFreshOne);
+    CPPUNIT_TEST(withoutPublishersTheNodeIsNotUpToDate);
+    CPPUNIT_TEST(nothingGoesBack);
+    CPPUNIT_TEST_SUITE_END();
+
+    ManualClock clock;
+    PublisherPeers peers;
+
+    DirectoryFollower follow(Directory& directory)
+    {
+        return DirectoryFollower({}, this->peers, directory, decode, this->clock);
+    }
+
+    void changesArriveInOneStep()
+    {
+        Directory source(this->clock);
+        Directory target(this->clock);
+        this->peers.publishers["p"] = &source;
+        auto follower = this->follow(target);
+        source.applyConfiguration(configuration(3));
+        source.replaceServers({ server("a"), server("b") }, 10);
+        follower.step({ "p" });
+        CPPUNIT_ASSERT(follower.upToDate());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), target.view()->configuration->version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), target.view()->serversOf("tool").size());
+        source.changeServers({ { "a", server("a", ServerState::Draining) }, { "b", std::nullopt } }, 12);
+        follower.step({ "p" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), target.view()->serversOf("tool").size());
+        CPPUNIT_ASSERT(target.view()->serversOf("tool")[0].state == ServerState::Draining);
+    }
+
+    // Heartbeats raise the registry's revision all the time; sending the list for each would grow with servers x nodes.
+    void unchangedListsAreNotSentAgain()
+    {
+        Directory source(this->clock);
+        source.replaceServers({ server("a") }, 10);
+        std::uint64_t changedAt = source.view()->serversChangedAt;
+        ServerEntry warmer = server("a");
+        source.changeServers({ { "a", warmer } }, 20);
+        DirectoryUpdate update = answerDirectoryFetch(source, { 0, changedAt });
+        CPPUNIT_ASSERT(update.registryKnown && !update.hasServers && update.registryRevision == 20);
+        source.changeServers({ { "a", server("a", ServerState::Draining) } }, 21);
+        CPPUNIT_ASSERT(answerDirectoryFetch(source, { 0, changedAt }).hasServers);
+    }
+
+    // The platform may refuse some nodes while it serves others.
+    void stalePublisherIsLeftForAFreshOne()
+    {
+        Directory stale(this->clock);
+        Directory fresh(this->clock);
+        Directory target(this->clock);
+        stale.replaceServers({ server("a") }, 10);
+        this->clock.advance(std::chrono::seconds(5));
+        fresh.replaceServers({ server("b") }, 20);
+        this->peers.publishers = { { "stale", &stale }, { "fresh", &fresh } };
+        auto follower = this->follow(target);
+        follower.step({ "stale", "fresh" });
+        CPPUNIT_ASSERT(follower.upToDate());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), target.view()->serversOf("tool")[0].id);
+    }
+
+    void withoutPublishersTheNodeIsNotUpToDate()
+    {
+        Directory target(this->clock);
+        auto follower = this->follow(target);
+        follower.step({ "p1", "p2", "p3", "p4" });
+        CPPUNIT_ASSERT(!follower.upToDate());
+        CPPUNIT_ASSERT_EQUAL(3, this->peers.asked);
+    }
+
+    // A publisher that missed changes must not bring back what is gone.
+    void nothingGoesBack()
+    {
+        Directory behind(this->clock);
+        Directory target(this->clock);
+        behind.applyConfiguration(configuration(3));
+        behind.replaceServers({ server("gone") }, 10);
+        target.applyConfiguration(configuration(5));
+        target.replaceServers({ server("a") }, 20);
+        this->peers.publishers["p"] = &behind;
+        auto follower = this->follow(target);
+        follower.step({ "p" });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), target.view()->configuration->version);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), target.view()->serversOf("tool")[0].id);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryFollowerTest);
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/sharing/DirectoryPublisher.cpp
@@ -0,0 +1,38 @@
+#include "lovagecross/sharing/DirectoryPublisher.h"
+
+namespace lovagecross {
+
+namespace {
+
+DirectoryServer toMessage(const ServerEntry& entry)
+{
+    return { entry.id, entry.service, entry.address, entry.dataCentre, entry.slots,
+        entry.state == ServerState::Draining, toMillis(entry.coldFor), entry.startedUnixMillis };
+}
+
+} // namespace
+
+DirectoryUpdate answerDirectoryFetch(const Directory& directory, const DirectoryFetch& fetch)
+{
+    DirectoryUpdate update;
+    auto view = directory.view();
+    update.registryKnown = view->registryKnown;
+    if (view->registryKnown) {
+        // The age is read first: a list that is newer than its stated age does no harm.
+        update.registryAgeMillis = toMillis(directory.registryAge());
+        update.registryRevision = view->registryRevision;
+        update.serversChangedAt = view->serversChangedAt;
+        update.hasServers = view->serversChangedAt != fetch.serversChangedAt;
+    }
+    if (update.hasServers) {
+        for (const auto& [service, servers] : view->servers) {
+            for (const ServerEntry& server : servers)
+                update.servers.push_back(toMessage(server));
+        }
+    }
+    if (view->configuration && view->configuration->version > fetch.configurationVersion)
+        update.configurationDocument = view->configuration->document;
+    return update;
+}
+
+} // namespace lovagecross
