Let one record node of each data centre read the platform for the others

Change: the first record node of a data centre reads the platform, the others and the entry nodes follow it; entry nodes ask a member for the roster.

--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -41,13 +41,26 @@
 constexpr std::size_t leastConnections = 128;
 constexpr std::size_t mostConnections = 2000;
 constexpr std::size_t cacheShareOfMemory = 8;
-constexpr std::uint32_t maxPublishers = 100; // more than there are record nodes: all of them are ranked
 
 Tolerance toleranceOf(const NodeSettings& settings)
 {
     return { settings.lossMachines, settings.lossDataCentres };
 }
 
+// The record nodes that a node asks for the configuration and the registry: the first of its own data centre, then those
+// of others. Only the first of each data centre reads the platform for all.
+std::vector<std::string> publishersOf(const Roster& roster, const std::string& dataCentre)
+{
+    std::vector<std::string> addresses;
+    for (bool near : { true, false }) {
+        for (const RosterMember& member : roster.members) { // in the order of their names
+            if ((member.dataCentre == dataCentre) == near)
+                addresses.push_back(member.address);
+        }
+    }
+    return addresses;
+}
+
 ZmqPeersSettings peerSettings(const NodeSettings& settings)
 {
     ZmqPeersSettings peers;
@@ -227,19 +240,9 @@
         return {};
     }
 
-    // Record nodes follow the registry for all; those of the own data centre are asked first.
     std::vector<std::string> publishers() const
     {
-        std::vector<std::string> addresses;
-        Roster roster = this->records.roster();
-        for (bool near : { true, false }) {
-            auto replicas = replicasOf(roster, this->base.settings.node, { maxPublishers, 0 });
-            for (const RosterMember* member : replicas) {
-                if ((member->dataCentre == this->base.settings.dataCentre) == near)
-                    addresses.push_back(member->address);
-            }
-        }
-        return addresses;
+        return publishersOf(this->records.roster(), this->base.settings.dataCentre);
     }
 
     RecordResponse answer(const RecordRequest& request) const
@@ -297,7 +300,9 @@
     explicit StorageNode(const NodeSettings& settings)
         : base(settings)
         , records(nodeSettings(settings), this->base.recordParts)
-        , feed(this->base.api, this->base.directory, this->base.clock)
+        , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock)
+        , feed(this->base.api, this->base.directory, this->base.clock,
+              [this] { return this->readsPlatform() || !this->follower.upToDate(); })
         , retirements(this->base.api, this->records, settings.node)
         , messages(this->base.directory, [this](const RecordRequest& request) { return this->records.handle(request); })
     {
@@ -311,6 +316,7 @@
             return problem;
         this->records.start();
         this->feed.start();
+        this->steps.add([this] { return this->follow(); });
         this->retirements.start();
         if (!this->base.settings.metricsAddress.empty())
             this->metrics = std::make_unique<StatusListener>(
@@ -338,12 +344,34 @@
         return node;
     }
 
+    std::vector<std::string> publishers() const
+    {
+        return publishersOf(this->records.roster(), this->base.settings.dataCentre);
+    }
+
+    bool readsPlatform() const
+    {
+        std::vector<std::string> all = this->publishers();
+        return all.empty() || all.front() == this->base.settings.peerAddress;
+    }
+
+    Duration follow()
+    {
+        if (this->readsPlatform())
+            return housekeepingInterval;
+        std::vector<std::string> others = this->publishers();
+        std::erase(others, this->base.settings.peerAddress);
+        return this->follower.step(others);
+    }
+
     NodeBase base;
     RecordNode records;
+    DirectoryFollower follower;
     platform::DirectoryFeed feed;
     platform::RetirementFeed retirements;
     MessageHandler messages;
     std::unique_ptr<StatusListener> metrics;
+    platform::StepThreads steps;
 };
 
 template <typename NodeType> int runUntilSignal(const NodeSettings& settings)
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -191,36 +191,49 @@
     this->tracker.heard(opinions);
 }
 
-// Reads the roster from the platform; while that can't be reached, from members and seeds.
+// Asks a member for the roster, then the platform, and while that can't be reached all members and seeds.
 void RecordClient::followRoster()
 {
-    StoreResult stored = this->parts.store.get(rosterKey);
-    if (stored.ok()) {
-        handle(
-            [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(roster, parseRoster(stored.object.value));
-                this->takeRoster(roster);
-                return true;
-            },
-            [&](const Error& error) {
-                LogLine(LogLevel::Error, "roster_unreadable").field("field", error.field).write();
-                return false;
-            });
+    std::vector<std::string> members;
+    for (const RosterMember* member : replicasOf(this->roster(), this->settings.ownAddress, this->settings.tolerance))
+        members.push_back(member->address);
+    if (!members.empty() && this->askForRoster({ members.front() }))
         return;
-    }
+    StoreResult stored = this->parts.store.get(rosterKey);
     if (stored.status == StoreStatus::NotFound)
         return;
-    std::vector<std::string> addresses = this->settings.seeds;
-    for (const RosterMember& member : this->roster().members)
-        addresses.push_back(member.address);
+    if (!stored.ok()) {
+        members.insert(members.end(), this->settings.seeds.begin(), this->settings.seeds.end());
+        this->askForRoster(members);
+        return;
+    }
+    handle(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(roster, parseRoster(stored.object.value));
+            this->takeRoster(roster);
+            return true;
+        },
+        [&](const Error& error) {
+            LogLine(LogLevel::Error, "roster_unreadable").field("field", error.field).write();
+            return false;
+        });
+}
+
+// Whether any of them told a roster.
+bool RecordClient::askForRoster(const std::vector<std::string>& addresses)
+{
     auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(InspectRequest {}) },
         inspectTimeout, [](const auto&) { return false; });
+    bool told = false;
     for (const PeerResult& result : results) {
         const auto* reply = std::get_if<RecordReply>(&result.answer);
         auto response = reply != nullptr ? decodeRecordResponse(reply->content) : std::nullopt;
-        if (response && response->roster)
-            this->takeRoster(*response->roster);
+        if (result.status != PeerStatus::Ok || !response || !response->roster)
+            continue;
+        told = true;
+        this->takeRoster(*response->roster);
     }
+    return told;
 }
 
 void RecordClient::takeRoster(const Roster& roster)
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -82,6 +82,7 @@
     bool readMissing(const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent);
     void takeRoster(const Roster& roster);
     void followRoster();
+    bool askForRoster(const std::vector<std::string>& addresses);
     void run();
 
     const RecordClientSettings settings;
