Keep the configuration of a call alive while it runs

A call replaced its view of the directory after an attempt; when the configuration had changed meanwhile, its route and the service's entry were freed or missing. GatewayTest::configurationMayChangeDuringACall reported a use after free with the address sanitizer before, and passes now.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -175,7 +175,6 @@
         this->tried.insert(chosen->server.id);
         this->lastServer = chosen->server.id;
         step = this->attempt(found, chosen->server);
-        this->view = this->parts.directory.view();
     }
     return step;
 }
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -85,7 +85,7 @@
     const RequestHead& head;
     std::string body;
     const TimePoint receivedAt;
-    std::shared_ptr<const DirectoryView> view;
+    const std::shared_ptr<const DirectoryView> view; // owns the route of the call
     Call call;
     TimePoint deadline;
     const Route* route = nullptr;
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -219,6 +219,7 @@
     CPPUNIT_TEST(unknownRouteAndUnknownConfiguration);
     CPPUNIT_TEST(badRequestsReachNoServer);
     CPPUNIT_TEST(routeTimeoutEndsACall);
+    CPPUNIT_TEST(configurationMayChangeDuringACall);
     CPPUNIT_TEST(drainingClosesAfterTheAnswer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -706,6 +707,28 @@
         CPPUNIT_ASSERT(taken >= milliseconds(1490) && taken < milliseconds(1900));
     }
 
+    // A call that was accepted under one configuration ends under it: its route must outlive the change, and the service
+    // may be gone from the new configuration.
+    void configurationMayChangeDuringACall()
+    {
+        this->addServers(2, [this](const ScriptedRequest&, ScriptedConnection& connection) {
+            for (std::uint64_t version = 10; version < 30; ++version) {
+                GatewayConfiguration next;
+                next.version = version + this->directory->view()->configuration->version;
+                this->directory->applyConfiguration(std::move(next));
+            }
+            connection.reset();
+            return false;
+        });
+        for (int i = 0; i < 20; ++i) {
+            GatewayConfiguration again = this->configuration();
+            again.version = this->directory->view()->configuration->version + 1;
+            this->directory->applyConfiguration(std::move(again));
+            std::string answer = this->ask(get("/safe/", "r" + std::to_string(i)));
+            CPPUNIT_ASSERT_MESSAGE(answer, has(answer, "HTTP/1.1 502") || has(answer, "HTTP/1.1 503"));
+        }
+    }
+
     void drainingClosesAfterTheAnswer()
     {
         this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
