Do not pass on a request that crosses the close of its connection

Cause: at the end of a stop, idle connections were shut down without a look at what had arrived. Change: a connection with bytes to read is not idle, and one that was ended reads nothing any more. GatewayTest::requestThatCrossesTheCloseIsNotPassedOn: before, a request that had arrived got no answer; passes now.

--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -84,16 +84,19 @@
 {
     std::lock_guard lock(this->idleMutex);
     this->endWhenIdle = true;
-    if (this->idle)
-        this->stream.shutdown();
+    if (!this->idle || this->ended || !this->stream.quiet())
+        return;
+    this->ended = true;
+    this->stream.shutdown();
 }
 
-// False when the connection is to end instead of waiting for another request.
+// False when the connection is to end instead of waiting for another request, or was ended while it waited. A request
+// that arrived just then is not read: its caller sees a connection that was closed before it answered anything.
 bool CallerSession::setIdle(bool nowIdle)
 {
     std::lock_guard lock(this->idleMutex);
     this->idle = nowIdle;
-    return !(nowIdle && this->endWhenIdle);
+    return !this->ended && !(nowIdle && this->endWhenIdle && this->stream.quiet());
 }
 
 CallerSession::ReadEnd CallerSession::waitForRequest(const CallerLimits& callerLimits)
@@ -104,8 +107,8 @@
         return ReadEnd::Ended;
     TimePoint idleUntil = this->parts.clock.now() + callerLimits.idleTimeout;
     IoStatus status = waitReadable(this->stream, idleUntil, this->parts.clock);
-    this->setIdle(false);
-    if (status != IoStatus::Ok || this->stream.receive() != IoStatus::Ok)
+    bool mayRead = this->setIdle(false);
+    if (!mayRead || status != IoStatus::Ok || this->stream.receive() != IoStatus::Ok)
         return ReadEnd::Ended;
     return ReadEnd::Ok;
 }
--- a/lovagecross/gateway/CallerSession.h
+++ b/lovagecross/gateway/CallerSession.h
@@ -47,6 +47,7 @@
     std::mutex idleMutex;
     bool idle = true;
     bool endWhenIdle = false;
+    bool ended = false; // by endIfIdle
 };
 
 } // namespace lovagecross
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -2,6 +2,7 @@
 
 #include "lovagecross/gateway/Gateway.h"
 
+#include "lovagecross/gateway/CallerSession.h"
 #include "lovagecross/testing/ScriptedServer.h"
 
 #include <Poco/Exception.h>
@@ -221,6 +222,7 @@
     CPPUNIT_TEST(routeTimeoutEndsACall);
     CPPUNIT_TEST(configurationMayChangeDuringACall);
     CPPUNIT_TEST(drainingClosesAfterTheAnswer);
+    CPPUNIT_TEST(requestThatCrossesTheCloseIsNotPassedOn);
     CPPUNIT_TEST_SUITE_END();
 
     SystemClock clock;
@@ -743,6 +745,29 @@
         CPPUNIT_ASSERT_MESSAGE(answer, has(answer, "done") && has(answer, "Connection: close"));
         CPPUNIT_ASSERT_EQUAL(std::string("<closed>"), caller.read([](const std::string&) { return false; }));
     }
+
+    // At the end of a stop, idle connections are closed while requests may be on their way on them. One that isn't
+    // answered must not reach a server: its caller sends a non-idempotent call again after such a close.
+    void requestThatCrossesTheCloseIsNotPassedOn()
+    {
+        std::atomic<int> ran { 0 };
+        this->addServer([&](const ScriptedRequest& request, ScriptedConnection& connection) {
+            ++ran;
+            return connection.write(answerTo(request, "done"));
+        });
+        Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+        CallerSocket caller(listener.address().toString());
+        CallerSession session(*this->parts, listener.acceptConnection());
+        caller.write(post("/unsafe/", "r1", "x"));
+        std::this_thread::sleep_for(milliseconds(50)); // the request has arrived and is not read yet
+        session.endIfIdle();
+        std::thread thread([&] { session.run(); });
+        std::string answer = caller.readAnswer();
+        caller.close();
+        thread.join();
+        CPPUNIT_ASSERT_EQUAL(has(answer, "done") ? 1 : 0, ran.load());
+        CPPUNIT_ASSERT_MESSAGE(answer, has(answer, "done"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
