--- a/lovagecross/config/DocumentationTest.cpp
+++ b/lovagecross/config/DocumentationTest.cpp
@@ -35,7 +35,7 @@
     return handle([&] { return parseJson(text); }, [](const Error&) { return JsonNode(); });
 }
 
-// The first cells of a field's row in docs/operations.md: its key and its default.
+// The first cells of a field's row in docs/OPERATIONS.md: its key and its default.
 std::string rowOf(const std::string& path, const std::string& defaultCell)
 {
     return "\n| `" + path + "` | " + defaultCell + " | ";
@@ -53,7 +53,7 @@
 void expectRow(const std::string& page, const std::string& row)
 {
     CPPUNIT_ASSERT_MESSAGE(
-        "docs/operations.md lacks a row that starts with" + row, page.find(row) != std::string::npos);
+        "docs/OPERATIONS.md lacks a row that starts with" + row, page.find(row) != std::string::npos);
 }
 
 } // namespace
@@ -67,7 +67,7 @@
     CPPUNIT_TEST(eachConfigurationFieldIsDocumentedWithItsDefault);
     CPPUNIT_TEST_SUITE_END();
 
-    std::string page = readSourceFile("docs/operations.md");
+    std::string page = readSourceFile("docs/OPERATIONS.md");
 
     void exampleSettingsAreValid()
     {
--- a/lovagecross/config/NodeSettings.cpp
+++ b/lovagecross/config/NodeSettings.cpp
@@ -34,6 +34,7 @@
     visit.text("readyPath", settings.readyPath, urlPathRule);
     visit.text("metricsAddress", settings.metricsAddress, addressRule);
     visit.text("peerAddress", settings.peerAddress, addressRule, Presence::Required);
+    visit.text("advertisedAddress", settings.advertisedAddress, addressRule);
     visit.text("platformAddress", settings.platformAddress, addressRule, Presence::Required);
     visit.texts("seeds", settings.seeds, addressRule, { 0, maxSeeds });
     visit.text("dataFolder", settings.dataFolder, filePathRule);
@@ -89,6 +90,8 @@
         checkMode(settings, errors);
     if (auto checked = errors.result(); !checked)
         return checked.error();
+    if (settings.advertisedAddress.empty())
+        settings.advertisedAddress = settings.peerAddress;
     return settings;
 }
 
--- a/lovagecross/config/NodeSettings.h
+++ b/lovagecross/config/NodeSettings.h
@@ -35,7 +35,8 @@
     std::string readyAddress; // IP:port of readiness; required for an entry node
     std::string readyPath; // path that answers 200 while the node takes calls
     std::string metricsAddress; // IP:port; empty: none
-    std::string peerAddress; // IP:port
+    std::string peerAddress; // IP:port to listen at for other nodes
+    std::string advertisedAddress; // IP:port at which other nodes reach it, if it differs
     std::string platformAddress; // IP:port of the object API
     std::vector<std::string> seeds; // peer addresses of other nodes
     std::string dataFolder; // required for a record node
--- a/lovagecross/ctl/LovagectlTest.cpp
+++ b/lovagecross/ctl/LovagectlTest.cpp
@@ -327,7 +327,7 @@
 
     void eachCommandIsDocumented()
     {
-        std::ifstream file(LOVAGECROSS_SOURCE_DIR "/docs/operations.md");
+        std::ifstream file(LOVAGECROSS_SOURCE_DIR "/docs/OPERATIONS.md");
         std::ostringstream page;
         page << file.rdbuf();
         for (const Command& command : allCommands()) {
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -47,8 +47,8 @@
     return { settings.lossMachines, settings.lossDataCentres };
 }
 
-// The record nodes that a node asks for the configuration and the registry: the first of its own data centre, then those
-// of others. Only the first of each data centre reads the platform for all.
+// The record nodes that a node asks for the configuration and the registry: the first of its own data centre, then
+// those of others. Only the first of each data centre reads the platform for all.
 std::vector<std::string> publishersOf(const Roster& roster, const std::string& dataCentre)
 {
     std::vector<std::string> addresses;
@@ -212,7 +212,7 @@
     {
         RecordClientSettings client;
         client.dataCentre = this->base.settings.dataCentre;
-        client.ownAddress = this->base.settings.peerAddress;
+        client.ownAddress = this->base.settings.advertisedAddress;
         client.tolerance = toleranceOf(this->base.settings);
         client.seeds = this->base.settings.seeds;
         client.cacheBytes = std::size_t(this->base.settings.memoryMegabytes) * 1024 * 1024 / cacheShareOfMemory;
@@ -335,7 +335,7 @@
     {
         RecordNodeSettings node;
         node.node = settings.node;
-        node.address = settings.peerAddress;
+        node.address = settings.advertisedAddress;
         node.dataCentre = settings.dataCentre;
         node.dataFolder = settings.dataFolder;
         node.diskBytes = std::size_t(settings.diskMegabytes) * 1024 * 1024;
@@ -352,7 +352,7 @@
     bool readsPlatform() const
     {
         std::vector<std::string> all = this->publishers();
-        return all.empty() || all.front() == this->base.settings.peerAddress;
+        return all.empty() || all.front() == this->base.settings.advertisedAddress;
     }
 
     Duration follow()
@@ -360,7 +360,7 @@
         if (this->readsPlatform())
             return housekeepingInterval;
         std::vector<std::string> others = this->publishers();
-        std::erase(others, this->base.settings.peerAddress);
+        std::erase(others, this->base.settings.advertisedAddress);
         return this->follower.step(others);
     }
 
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -709,8 +709,8 @@
         CPPUNIT_ASSERT(taken >= milliseconds(1490) && taken < milliseconds(1900));
     }
 
-    // A call that was accepted under one configuration ends under it: its route must outlive the change, and the service
-    // may be gone from the new configuration.
+    // A call that was accepted under one configuration ends under it: its route must outlive the change, and the
+    // service may be gone from the new configuration.
     void configurationMayChangeDuringACall()
     {
         this->addServers(2, [this](const ScriptedRequest&, ScriptedConnection& connection) {
--- a/lovagecross/operators/ConfigurationBuilder.h
+++ b/lovagecross/operators/ConfigurationBuilder.h
@@ -13,7 +13,7 @@
 //
 // A rank or a tenant is named once, where it is added; programs and budgets refer to it by the handle that this
 // returned. Everything is checked when the configuration is built: see Configuration.h for the fields, and
-// docs/operations.md for their ranges.
+// docs/OPERATIONS.md for their ranges.
 //
 // Thread safety: none; a builder is used on one thread.
 
--- /dev/null
+++ b/lovagecross/soak/FakeServers.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// Backend servers for the soak, in this process: plain services and model engines with event streams. They register
+// themselves, count what they run, and check what they are given.
+//
+// Thread safety: every member may be called from any thread.
+
+#include "lovagecross/soak/FakePlatform.h"
+#include "lovagecross/soak/Findings.h"
+#include "lovagecross/testing/ScriptedServer.h"
+#include "lovagecross/testing/TcpForwarder.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace lovagecross::soak {
+
+inline constexpr int eventsPerTurn = 5;
+inline constexpr int tokensPerEvent = 4;
+
+// What all servers together have run, by request id.
+class RunLedger {
+public:
+    void ran(const std::string& requestId);
+    int runs(const std::string& requestId) const;
+
+private:
+    mutable std::mutex mutex;
+    std::map<std::string, int> counts;
+};
+
+// The data of an event: derived from the request, so that a caller can tell its own answer from another's.
+std::string eventData(const std::string& requestId, int event);
+std::string plainAnswer(const std::string& requestId);
+
+class FakeServer {
+public:
+    FakeServer(
+        std::string serverId, std::string service, std::string dataCentre, RunLedger& ledger, Findings& findings);
+
+    // Writes the registry entry; `ready` false: it is leaving.
+    void heartbeat(FakePlatform& platform, bool ready);
+    const std::string& id() const { return this->serverId; }
+
+    // Between the nodes and this server.
+    testing::TcpForwarder& link() { return *this->forwarder; }
+
+private:
+    bool answer(const testing::ScriptedRequest& request, testing::ScriptedConnection& connection);
+    bool stream(const testing::ScriptedRequest& request, testing::ScriptedConnection& connection);
+
+    const std::string serverId;
+    const std::string service;
+    const std::string dataCentre;
+    RunLedger& ledger;
+    Findings& findings;
+    std::atomic<int> sequence { 0 };
+    std::unique_ptr<testing::ScriptedServer> server;
+    std::unique_ptr<testing::TcpForwarder> forwarder;
+};
+
+} // namespace lovagecross::soak
