--- a/lovagecross/gateway/ServerBook.cpp
+++ b/lovagecross/gateway/ServerBook.cpp
@@ -17,7 +17,6 @@
 constexpr double slownessHalfLifeSeconds = 2;
 constexpr double largestSlowness = 20;
 constexpr double ordinarySpread = 1.6; // between servers that are alike, from the sizes of their calls
-constexpr Duration scarcityMemory = milliseconds(500);
 
 std::uint64_t nextRandom(std::uint64_t& state)
 {
--- a/lovagecross/http/ByteStream.cpp
+++ b/lovagecross/http/ByteStream.cpp
@@ -6,7 +6,6 @@
 #include <cerrno>
 #include <poll.h>
 #include <sys/socket.h>
-#include <utility>
 
 namespace lovagecross {
 
@@ -41,8 +40,8 @@
 
 } // namespace
 
-ByteStream::ByteStream(Poco::Net::StreamSocket connected)
-    : socket(std::move(connected))
+ByteStream::ByteStream(const Poco::Net::StreamSocket& connected)
+    : socket(connected)
     , fd(this->socket.impl()->sockfd())
 {
     this->socket.setBlocking(false);
--- a/lovagecross/http/ByteStream.h
+++ b/lovagecross/http/ByteStream.h
@@ -26,7 +26,7 @@
 
 class ByteStream {
 public:
-    explicit ByteStream(Poco::Net::StreamSocket connected);
+    explicit ByteStream(const Poco::Net::StreamSocket& connected);
 
     int descriptor() const { return this->fd; }
 
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -274,6 +274,7 @@
     const RecordRequest& request, Duration timeout, const std::function<bool(const Answers&)>& enough)
 {
     std::vector<std::string> addresses;
+    addresses.reserve(replicas.size());
     for (const RosterMember* replica : replicas)
         addresses.push_back(replica->address);
     Answers answers;
@@ -291,6 +292,7 @@
     };
     auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(request) }, timeout, count);
     std::vector<const PeerResult*> arrived;
+    arrived.reserve(results.size());
     for (const PeerResult& result : results)
         arrived.push_back(result.status == PeerStatus::Ok ? &result : nullptr);
     count(arrived);
@@ -517,6 +519,7 @@
         }
     };
     std::vector<std::string> addresses;
+    addresses.reserve(all.size());
     for (const RosterMember* member : all)
         addresses.push_back(member->address);
     Duration timeout = std::min<Duration>(deadline - this->parts.clock.now(), readTimeout);
--- a/lovagecross/records/RecordLogTest.cpp
+++ b/lovagecross/records/RecordLogTest.cpp
@@ -101,6 +101,7 @@
         RecordLog log(this->folder, noCompaction);
         log.open();
         std::vector<std::thread> writers;
+        writers.reserve(16);
         for (int i = 0; i < 16; ++i) {
             writers.emplace_back([&log] {
                 for (int j = 0; j < 50; ++j)
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -77,6 +77,7 @@
         const std::vector<std::string>& addresses, const PeerRequest& request, Duration, const EnoughAnswers&) override
     {
         std::vector<PeerResult> results;
+        results.reserve(addresses.size());
         for (const std::string& address : addresses)
             results.push_back(this->network.deliver(this->own, address, request));
         return results;
--- a/lovagecross/soak/Callers.cpp
+++ b/lovagecross/soak/Callers.cpp
@@ -153,8 +153,10 @@
     Answer result;
     std::string request = "POST " + path + "x HTTP/1.1\r\nHost: soak.example\r\nX-Lovagecross-Request-Id: " + id
         + "\r\nX-Lovagecross-Deadline-Ms: " + std::to_string(callMillis) + "\r\nConnection: close\r\n";
-    for (const std::string& field : fields)
-        request += field + "\r\n";
+    for (const std::string& field : fields) {
+        request += field;
+        request += "\r\n";
+    }
     request += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     std::string bytes;
     try {
--- a/lovagecross/soak/SoakMain.cpp
+++ b/lovagecross/soak/SoakMain.cpp
@@ -168,7 +168,6 @@
     Callers probe(addresses, this->ledger, this->findings);
     auto end = std::chrono::steady_clock::now() + startTimeout;
     while (std::chrono::steady_clock::now() < end) {
-        std::atomic<bool> once { true };
         std::uint64_t before = probe.counts.served;
         std::atomic<bool> stop { false };
         std::thread caller([&] { probe.run(this->random(), stop); });
@@ -343,6 +342,7 @@
     Callers callers(callerAddresses, this->ledger, this->findings);
     std::atomic<bool> stopping { false };
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(this->options.callers));
     for (int i = 0; i < this->options.callers; ++i)
         threads.emplace_back([&, seed = this->random()] { callers.run(seed, stopping); });
     this->faultLoop(std::chrono::steady_clock::now() + std::chrono::seconds(this->options.seconds));
