Tell publishers apart by what they know; wait for no server that others saw go

A record node that the platform had refused took servers that went meanwhile for lapsed ones and kept them for 2.2 s, and entry nodes that asked it took them back; and two publishers with the same revision of the last change but different lists were taken for equal. Change: lists are compared by a digest of their content, and a publisher whose own reads fail is kept up to date by the others, so that its removals are real. Tests: publishersThatDifferAtOneRevisionAreToldApart and aNodeThatOthersKeptUpToDateWaitsForNobody, both new with the change.

--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -138,7 +138,6 @@
     out->set_registry_known(update.registryKnown);
     out->set_registry_age_millis(update.registryAgeMillis);
     out->set_registry_revision(update.registryRevision);
-    out->set_servers_changed_at(update.serversChangedAt);
     out->set_has_servers(update.hasServers);
     out->set_configuration_document(update.configurationDocument);
     for (const DirectoryServer& server : update.servers) {
@@ -159,7 +158,6 @@
     update.registryKnown = in.registry_known();
     update.registryAgeMillis = in.registry_age_millis();
     update.registryRevision = in.registry_revision();
-    update.serversChangedAt = in.servers_changed_at();
     update.hasServers = in.has_servers();
     update.configurationDocument = in.configuration_document();
     for (const proto::DirectoryServer& entry : in.servers()) {
@@ -213,7 +211,7 @@
     void operator()(const DirectoryFetch& fetch) const
     {
         this->out.mutable_directory_fetch()->set_configuration_version(fetch.configurationVersion);
-        this->out.mutable_directory_fetch()->set_servers_changed_at(fetch.serversChangedAt);
+        this->out.mutable_directory_fetch()->set_servers_digest(fetch.serversDigest);
     }
     void operator()(const ForwardCancel&) const { this->out.mutable_cancel(); }
     void operator()(const ForwardChunk& chunk) const
@@ -284,8 +282,8 @@
         request = RecordCall { in.record_call().content() };
         return true;
     case proto::Envelope::kDirectoryFetch:
-        request = DirectoryFetch { in.directory_fetch().configuration_version(),
-            in.directory_fetch().servers_changed_at() };
+        request
+            = DirectoryFetch { in.directory_fetch().configuration_version(), in.directory_fetch().servers_digest() };
         return true;
     default:
         return false;
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -35,6 +35,8 @@
 constexpr Duration connectTimeout = milliseconds(400); // of a backend server in the same region
 constexpr Duration balancerNotice = milliseconds(2600); // two missed readiness checks, one a second, and their way
 constexpr Duration lastWords = milliseconds(500); // of the grace, to close down after the last call
+constexpr Duration oldestOwnRead = milliseconds(900); // of the registry, before another record node is asked for it
+constexpr Duration ownReadCheckInterval = milliseconds(300);
 constexpr Duration housekeepingInterval = std::chrono::seconds(1);
 constexpr int statusListenerThreads = 4;
 constexpr std::size_t connectionsPerMegabyte = 6;
@@ -357,8 +359,10 @@
 
     Duration follow()
     {
-        if (this->readsPlatform())
-            return housekeepingInterval;
+        // A node that the platform refuses is kept up to date by the others.
+        bool stale = this->base.directory.registryAge() > oldestOwnRead;
+        if (this->readsPlatform() && !stale)
+            return ownReadCheckInterval;
         std::vector<std::string> others = this->publishers();
         std::erase(others, this->base.settings.advertisedAddress);
         return this->follower.step(others);
--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -1,10 +1,25 @@
 #include "lovagecross/gateway/Directory.h"
 
+#include "lovagecross/base/Hash.h"
+
 #include <set>
 #include <utility>
 
 namespace lovagecross {
 
+namespace {
+
+// How long a server stays cold falls with every heartbeat; only whether it is cold counts.
+std::uint64_t digestOf(const ServerEntry& entry, std::uint64_t before)
+{
+    std::string text = entry.id + '|' + entry.service + '|' + entry.address + '|' + entry.dataCentre + '|'
+        + std::to_string(entry.slots) + '|' + std::string(serverStateNames.name(entry.state)) + '|'
+        + std::to_string(entry.startedUnixMillis) + (entry.coldFor > Duration(0) ? "|cold" : "|warm");
+    return stableHash(text, before);
+}
+
+} // namespace
+
 const std::vector<ServerEntry>& DirectoryView::serversOf(std::string_view service) const
 {
     static const std::vector<ServerEntry> none;
@@ -49,7 +64,8 @@
     std::set<std::string> listed;
     for (ServerEntry& entry : list) {
         listed.insert(entry.id);
-        this->putServer(std::move(entry));
+        this->lapsed.erase(entry.id);
+        this->servers[entry.id] = std::move(entry);
     }
     std::vector<std::string> missing;
     for (const auto& [id, entry] : this->servers) {
@@ -70,17 +86,18 @@
     this->registryReached(now);
     this->revision = newRevision;
     for (const ServerChange& change : changes) {
-        if (change.entry)
-            this->putServer(*change.entry);
-        else if (this->servers.count(change.id) > 0)
+        if (change.entry) {
+            this->lapsed.erase(change.id);
+            this->servers[change.id] = *change.entry;
+        } else if (this->servers.count(change.id) > 0) {
             this->removeServer(change.id, now);
+        }
     }
     if (!changes.empty())
         this->publish(lock);
 }
 
-void Directory::takeServers(
-    std::vector<ServerEntry> list, std::uint64_t newRevision, std::uint64_t listChangedAt, Duration age)
+void Directory::takeServers(std::vector<ServerEntry> list, std::uint64_t newRevision, Duration age)
 {
     std::unique_lock lock(this->mutex);
     if (newRevision < this->revision)
@@ -89,7 +106,6 @@
     this->known = true;
     this->lastRead = this->clock.now() - age;
     this->revision = newRevision;
-    this->changedAt = listChangedAt;
     this->servers.clear();
     this->lapsed.clear();
     for (ServerEntry& entry : list)
@@ -110,7 +126,8 @@
 void Directory::registryUnreachable()
 {
     std::lock_guard lock(this->mutex);
-    this->unreachable = true;
+    if (this->known && this->clock.now() - this->lastRead > outageAfter)
+        this->unreachable = true;
 }
 
 void Directory::expireLapsed()
@@ -125,7 +142,6 @@
         }
         this->servers.erase(it->first);
         it = this->lapsed.erase(it);
-        ++this->changedAt; // differs from what others were told; no revision of the store tells this
         changed = true;
     }
     if (changed)
@@ -158,24 +174,6 @@
     return now < this->removalsWaitUntil;
 }
 
-void Directory::putServer(ServerEntry entry)
-{
-    this->lapsed.erase(entry.id);
-    auto found = this->servers.find(entry.id);
-    // How long a server stays slow falls with every heartbeat; that alone is no change to tell others.
-    bool same = false;
-    if (found != this->servers.end()) {
-        ServerEntry before = found->second;
-        bool cold = before.coldFor > Duration(0);
-        before.coldFor = entry.coldFor;
-        same = before == entry && cold == (entry.coldFor > Duration(0));
-    }
-    if (!same)
-        this->changedAt = this->revision;
-    std::string id = entry.id;
-    this->servers[id] = std::move(entry);
-}
-
 void Directory::removeServer(const std::string& id, TimePoint now)
 {
     // A server that was leaving is not waited for.
@@ -186,7 +184,6 @@
     }
     this->lapsed.erase(id);
     this->servers.erase(id);
-    this->changedAt = this->revision;
 }
 
 void Directory::publish(std::unique_lock<std::mutex>& lock)
@@ -195,10 +192,11 @@
     view->configuration = this->configuration;
     view->routes = this->routes;
     view->registryRevision = this->revision;
-    view->serversChangedAt = this->changedAt;
     view->registryKnown = this->known;
-    for (const auto& [id, entry] : this->servers)
+    for (const auto& [id, entry] : this->servers) {
         view->servers[entry.service].push_back(entry);
+        view->serversDigest = digestOf(entry, view->serversDigest);
+    }
     this->current = view;
     auto notify = this->listener;
     lock.unlock();
--- a/lovagecross/gateway/Directory.h
+++ b/lovagecross/gateway/Directory.h
@@ -31,7 +31,7 @@
     std::shared_ptr<const RouteTable> routes;
     std::map<std::string, std::vector<ServerEntry>, std::less<>> servers; // by service, in the order of their ids
     std::uint64_t registryRevision = 0;
-    std::uint64_t serversChangedAt = 0; // registry revision of the last change of `servers`
+    std::uint64_t serversDigest = 0; // of `servers`: equal on two nodes only when they know the same
     bool registryKnown = false;
 
     const std::vector<ServerEntry>& serversOf(std::string_view service) const;
@@ -56,13 +56,13 @@
     void changeServers(const std::vector<ServerChange>& changes, std::uint64_t revision);
 
     // A list that another node has read and whose removals it has already waited for.
-    void takeServers(
-        std::vector<ServerEntry> servers, std::uint64_t newRevision, std::uint64_t changedAt, Duration age);
+    void takeServers(std::vector<ServerEntry> servers, std::uint64_t newRevision, Duration age);
 
-    // Another node has read the registry `age` ago and found no change since `changedAt`.
+    // Another node has read the registry `age` ago and knows the same servers.
     void confirmServers(std::uint64_t newRevision, Duration age);
 
-    // The registry can't be read from now on; the next successful call ends that.
+    // A read of the registry has failed. Counts as an outage once the last success, of this node or of another one that
+    // told it, is older than `outageAfter`; the next success ends that.
     void registryUnreachable();
 
     // Removes servers whose grace has passed. Called from time to time.
@@ -74,12 +74,12 @@
     // Called after every change, on the thread that made it.
     void onChange(std::function<void(const DirectoryView&)> newListener);
 
+    static constexpr Duration outageAfter = std::chrono::milliseconds(1500);
     static constexpr Duration lapsedGrace = std::chrono::milliseconds(2200); // live servers are back within two seconds
 
 private:
     void registryReached(TimePoint now);
     bool removalsWait(TimePoint now) const;
-    void putServer(ServerEntry entry);
     void removeServer(const std::string& id, TimePoint now);
     void publish(std::unique_lock<std::mutex>& lock);
 
@@ -91,7 +91,6 @@
     std::map<std::string, ServerEntry> servers; // by id
     std::map<std::string, TimePoint> lapsed; // ids that vanished in an outage, and when they are removed
     std::uint64_t revision = 0;
-    std::uint64_t changedAt = 0;
     bool known = false;
     bool unreachable = false;
     TimePoint lastRead;
--- a/lovagecross/gateway/DirectoryTest.cpp
+++ b/lovagecross/gateway/DirectoryTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(deletedServersGoAtOnce);
     CPPUNIT_TEST(serversThatLapsedInAnOutageAreWaitedFor);
     CPPUNIT_TEST(leavingServersAreNotWaitedFor);
+    CPPUNIT_TEST(aNodeThatOthersKeptUpToDateWaitsForNobody);
     CPPUNIT_TEST(staleListsAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -66,8 +67,8 @@
         ManualClock clock;
         Directory directory(clock);
         directory.replaceServers({ server("a"), server("b"), server("c") }, 10);
-        directory.registryUnreachable();
         clock.advance(std::chrono::seconds(9));
+        directory.registryUnreachable();
         directory.replaceServers({ server("c") }, 20);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), directory.view()->serversOf("tool").size());
         directory.changeServers({ { "a", server("a") } }, 21);
@@ -83,11 +84,28 @@
         ManualClock clock;
         Directory directory(clock);
         directory.replaceServers({ server("a", ServerState::Draining), server("b") }, 10);
+        clock.advance(std::chrono::seconds(9));
         directory.registryUnreachable();
         directory.replaceServers({ server("b") }, 20);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.view()->serversOf("tool").size());
     }
 
+    // The platform refuses this node alone. A server that goes meanwhile is gone, not lapsed, and must get no calls for
+    // two more seconds when the node is served again.
+    void aNodeThatOthersKeptUpToDateWaitsForNobody()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        directory.replaceServers({ server("a"), server("b") }, 10);
+        for (int i = 0; i < 14; ++i) {
+            clock.advance(milliseconds(500));
+            directory.registryUnreachable();
+            directory.confirmServers(10, milliseconds(300));
+        }
+        directory.changeServers({ { "a", std::nullopt } }, 12);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.view()->serversOf("tool").size());
+    }
+
     // A list that a slow call brings after newer changes would bring back servers that are gone.
     void staleListsAreIgnored()
     {
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -135,7 +135,7 @@
 // Asks a node that follows the registry for what differs from what the asking node knows.
 struct DirectoryFetch {
     std::uint64_t configurationVersion = 0; // 0: none is known
-    std::uint64_t serversChangedAt = 0; // registry revision of the last change known; 0: no servers are known
+    std::uint64_t serversDigest = 0; // of the servers known; 0: none are
 };
 
 struct DirectoryServer {
@@ -153,7 +153,6 @@
     bool registryKnown = false;
     std::int64_t registryAgeMillis = 0; // since the answering node read it with success
     std::uint64_t registryRevision = 0;
-    std::uint64_t serversChangedAt = 0;
     bool hasServers = false; // `servers` is the whole list; otherwise it is as the asking node knows it
     std::vector<DirectoryServer> servers;
     std::string configurationDocument; // in the platform's own form; empty unless it is newer
--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -59,7 +59,7 @@
     auto view = this->directory.view();
     DirectoryFetch fetch;
     fetch.configurationVersion = view->configuration ? view->configuration->version : 0;
-    fetch.serversChangedAt = view->registryKnown ? view->serversChangedAt : 0;
+    fetch.serversDigest = view->serversDigest;
     PeerResult result = this->peers.request(publisher, fetch, this->settings.timeout, {});
     const auto* update = std::get_if<DirectoryUpdate>(&result.answer);
     if (result.status != PeerStatus::Ok || update == nullptr)
@@ -75,7 +75,7 @@
         std::vector<ServerEntry> servers;
         for (const DirectoryServer& server : update.servers)
             servers.push_back(fromMessage(server));
-        this->directory.takeServers(std::move(servers), update.registryRevision, update.serversChangedAt, age);
+        this->directory.takeServers(std::move(servers), update.registryRevision, age);
     } else if (update.registryKnown) {
         this->directory.confirmServers(update.registryRevision, age);
     }
--- a/lovagecross/sharing/DirectoryFollowerTest.cpp
+++ b/lovagecross/sharing/DirectoryFollowerTest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(stalePublisherIsLeftForAFreshOne);
     CPPUNIT_TEST(withoutPublishersTheNodeIsNotUpToDate);
     CPPUNIT_TEST(nothingGoesBack);
+    CPPUNIT_TEST(publishersThatDifferAtOneRevisionAreToldApart);
     CPPUNIT_TEST_SUITE_END();
 
     ManualClock clock;
@@ -99,13 +100,12 @@
     {
         Directory source(this->clock);
         source.replaceServers({ server("a") }, 10);
-        std::uint64_t changedAt = source.view()->serversChangedAt;
-        ServerEntry warmer = server("a");
-        source.changeServers({ { "a", warmer } }, 20);
-        DirectoryUpdate update = answerDirectoryFetch(source, { 0, changedAt });
+        std::uint64_t digest = source.view()->serversDigest;
+        source.changeServers({ { "a", server("a") } }, 20);
+        DirectoryUpdate update = answerDirectoryFetch(source, { 0, digest });
         CPPUNIT_ASSERT(update.registryKnown && !update.hasServers && update.registryRevision == 20);
         source.changeServers({ { "a", server("a", ServerState::Draining) } }, 21);
-        CPPUNIT_ASSERT(answerDirectoryFetch(source, { 0, changedAt }).hasServers);
+        CPPUNIT_ASSERT(answerDirectoryFetch(source, { 0, digest }).hasServers);
     }
 
     // The platform may refuse some nodes while it serves others.
@@ -133,6 +133,26 @@
         CPPUNIT_ASSERT_EQUAL(3, this->peers.asked);
     }
 
+    // One publisher may still wait for a server that lapsed while it was cut off; the other knows that it is gone.
+    void publishersThatDifferAtOneRevisionAreToldApart()
+    {
+        Directory waiting(this->clock);
+        Directory steady(this->clock);
+        Directory target(this->clock);
+        waiting.replaceServers({ server("a"), server("gone") }, 10);
+        steady.replaceServers({ server("a"), server("gone") }, 10);
+        this->clock.advance(std::chrono::seconds(5));
+        waiting.registryUnreachable();
+        waiting.replaceServers({ server("a") }, 12);
+        steady.changeServers({ { "gone", std::nullopt } }, 12);
+        this->peers.publishers = { { "waiting", &waiting }, { "steady", &steady } };
+        auto follower = this->follow(target);
+        follower.step({ "waiting" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), target.view()->serversOf("tool").size());
+        follower.step({ "steady" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), target.view()->serversOf("tool").size());
+    }
+
     // A publisher that missed changes must not bring back what is gone.
     void nothingGoesBack()
     {
--- a/lovagecross/sharing/DirectoryPublisher.cpp
+++ b/lovagecross/sharing/DirectoryPublisher.cpp
@@ -21,8 +21,7 @@
         // The age is read first: a list that is newer than its stated age does no harm.
         update.registryAgeMillis = toMillis(directory.registryAge());
         update.registryRevision = view->registryRevision;
-        update.serversChangedAt = view->serversChangedAt;
-        update.hasServers = view->serversChangedAt != fetch.serversChangedAt;
+        update.hasServers = view->serversDigest != fetch.serversDigest;
     }
     if (update.hasServers) {
         for (const auto& [service, servers] : view->servers) {
