Soak: judge a stop by the process that was told to stop

Two SIGTERM faults had overlapped, and the second one's check waited for the process that the first one had started anew; the node's logs show a stop in 8 ms. Change: a check applies only to the process that got the signal.

--- a/lovagecross/soak/SoakMain.cpp
+++ b/lovagecross/soak/SoakMain.cpp
@@ -214,15 +214,20 @@
             return;
         this->count("kill");
         this->endNode(node);
-        later(100, 2500, [this, &node] { this->startNode(node, false); });
+        later(100, 2500, [this, &node] {
+            if (node.process == nullptr)
+                this->startNode(node, false);
+        });
         return;
     case 1:
-        if (node.process == nullptr || node.paused) // a paused process takes no signal
+        if (node.process == nullptr || node.paused || !node.process->running()) // a paused process takes no signal
             return;
         this->count("terminate");
         node.process->terminate();
-        later(100, graceMillis, [this, &node] {
-            if (node.process != nullptr && node.process->waitForExit(milliseconds(graceMillis)) == std::nullopt)
+        later(100, graceMillis, [this, &node, told = node.process] {
+            if (node.process != told) // another fault has replaced it
+                return;
+            if (told->waitForExit(milliseconds(graceMillis)) == std::nullopt)
                 this->findings.add("graceful stop", node.name + " outlived its grace");
             this->endNode(node);
             this->startNode(node, false);
