--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -400,7 +400,8 @@
     }
     if (!this->write(lastChunk))
         return Step::Left;
-    this->parts.counters.atEnd.record(this->parts.clock.now() - lastByteAt);
+    this->endTaken = this->parts.clock.now() - lastByteAt;
+    this->parts.counters.atEnd.record(*this->endTaken);
     this->parts.counters.answered.add();
     this->logEnd("answered", this->streamHead->status);
     return Step::Done;
@@ -515,6 +516,8 @@
         line.field("lastFailure", this->lastFailure);
     if (this->sends > 0)
         line.field("beforeSendMs", toMillis(this->firstSendAt - this->receivedAt));
+    if (this->endTaken)
+        line.field("endMs", toMillis(*this->endTaken));
     line.field("ms", toMillis(now - this->receivedAt))
         .field("timeLeftMs", toMillis(this->call.timeLeft.value_or(Duration(0))))
         .field("configVersion", this->view->configuration ? this->view->configuration->version : 0)
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -109,6 +109,7 @@
     std::uint64_t resumptions = 0;
     std::string output; // data of the events, for a turn that is kept
     TimePoint lastEventAt;
+    std::optional<Duration> endTaken; // from the last event to the end, the durable record included
 
     // Token budget
     std::optional<GrantRequest> grant;
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -261,6 +261,7 @@
     if (!response)
         return;
     ++answers.answered;
+    answers.complete += response->complete ? 1 : 0;
     if (response->roster && response->roster->epoch > answers.newest.epoch)
         answers.newest = *response->roster;
     if (response->status == RecordStatus::Ok)
@@ -404,8 +405,8 @@
             continue;
         if (!kept)
             kept = this->keepAtPlatform(record, turn.expiresUnixMillis);
-        if (this->parts.clock.now() >= until)
-            break;
+        if (this->parts.clock.now() >= until || this->reach() == Reach::Cut)
+            break; // the caller's next try reaches another node
     }
     if (kept)
         this->cache.add({ record.id, record.previous, record.input + record.output });
@@ -485,8 +486,8 @@
     return result;
 }
 
-// Reads the turn `id` and what it continues, from the nearest node first, then from all. `absent` is set when every
-// node that could hold it says that it does not.
+// Reads the turn `id` and what it continues, from the nearest node first, then from all, then from the platform.
+// `absent` is set when every place that could hold it says that it does not.
 bool RecordClient::readMissing(
     const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent)
 {
@@ -498,56 +499,35 @@
         if (member.dataCentre == this->settings.dataCentre)
             near.push_back(&member);
     }
-    auto take = [&](const Answers& answers) {
-        for (const RecordResponse& response : answers.responses) {
-            for (const StoredTurn& turn : response.turns)
-                found.emplace(turn.id, turn);
-        }
-        return found.count(id) > 0;
-    };
-    auto anyFound = [](const Answers& so) { return !so.accepted.empty(); };
-    RecordRequest request = ReadChainRequest { id };
-    if (!near.empty() && take(this->askReplicas(roster, near, request, nearReadTimeout, anyFound)))
+    if (!near.empty())
+        this->readFrom(roster, near, id, nearReadTimeout, found);
+    if (found.count(id) > 0)
         return true;
-    std::size_t complete = 0;
-    auto countComplete = [&complete](const std::vector<const PeerResult*>& arrived) {
-        complete = 0;
-        for (const PeerResult* result : arrived) {
-            const auto* reply = result != nullptr ? std::get_if<RecordReply>(&result->answer) : nullptr;
-            auto response = reply != nullptr ? decodeRecordResponse(reply->content) : std::nullopt;
-            complete += response && response->complete ? 1 : 0;
-        }
-    };
-    std::vector<std::string> addresses;
-    addresses.reserve(all.size());
-    for (const RosterMember* member : all)
-        addresses.push_back(member->address);
     Duration timeout = std::min<Duration>(deadline - this->parts.clock.now(), readTimeout);
-    Answers answers;
-    auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(request) }, timeout,
-        [&](const std::vector<const PeerResult*>& arrived) {
-            return std::any_of(arrived.begin(), arrived.end(), [&](const PeerResult* result) {
-                const auto* reply = result != nullptr ? std::get_if<RecordReply>(&result->answer) : nullptr;
-                auto response = reply != nullptr ? decodeRecordResponse(reply->content) : std::nullopt;
-                return response && response->status == RecordStatus::Ok;
-            });
-        });
-    std::vector<const PeerResult*> arrived;
-    for (std::size_t i = 0; i < results.size(); ++i) {
-        arrived.push_back(results[i].status == PeerStatus::Ok ? &results[i] : nullptr);
-        addAnswer(answers, *all[i], results[i]);
-    }
-    if (take(answers))
+    Answers answers = this->readFrom(roster, all, id, timeout, found);
+    if (found.count(id) > 0)
         return true;
-    countComplete(arrived);
     StoredTurn turn;
     bool notAtPlatform = false;
     if (this->readFromPlatform(id, turn, notAtPlatform)) {
         found.emplace(id, std::move(turn));
         return true;
     }
-    absent = notAtPlatform && !all.empty() && complete == all.size();
+    absent = notAtPlatform && !all.empty() && answers.complete == all.size();
     return false;
 }
 
+// Asks the members for a turn until one has it, and adds what they return to `found`.
+RecordClient::Answers RecordClient::readFrom(const Roster& known, const std::vector<const RosterMember*>& members,
+    const std::string& id, Duration timeout, std::map<std::string, StoredTurn>& found)
+{
+    auto anyFound = [](const Answers& so) { return !so.accepted.empty(); };
+    Answers answers = this->askReplicas(known, members, ReadChainRequest { id }, timeout, anyFound);
+    for (const RecordResponse& response : answers.responses) {
+        for (const StoredTurn& turn : response.turns)
+            found.emplace(turn.id, turn);
+    }
+    return answers;
+}
+
 } // namespace lovagecross
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -65,6 +65,7 @@
         std::vector<const RosterMember*> accepted;
         std::vector<RecordResponse> responses; // of those that accepted
         std::size_t answered = 0;
+        std::size_t complete = 0; // that have every record which they should have
         bool exhausted = false;
         bool oldEpoch = false;
         Roster newest;
@@ -80,6 +81,8 @@
     bool keepAtPlatform(const TurnRecord& record, std::int64_t expiresUnixMillis);
     bool readFromPlatform(const std::string& id, StoredTurn& turn, bool& absent);
     bool readMissing(const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent);
+    Answers readFrom(const Roster& known, const std::vector<const RosterMember*>& members, const std::string& id,
+        Duration timeout, std::map<std::string, StoredTurn>& found);
     void takeRoster(const Roster& roster);
     void followRoster();
     bool askForRoster(const std::vector<std::string>& addresses);
--- a/lovagecross/soak/Callers.cpp
+++ b/lovagecross/soak/Callers.cpp
@@ -43,6 +43,15 @@
     }
 }
 
+std::string absentMessage(const std::string& id, const std::string& previous)
+{
+    std::string message = "turn ";
+    message += id;
+    message += " was told that this turn does not exist: ";
+    message += previous;
+    return message;
+}
+
 // The events of a stream in their order; false when one is missing, doubled or another request's.
 bool checkEvents(const std::string& answer, const std::string& id, int& events)
 {
@@ -93,11 +102,13 @@
         if (answer.outcome == Outcome::Spent)
             break;
         if (answer.outcome == Outcome::Absent)
-            this->findings.add("kept turns", "turn " + id + " was told that " + previous + " does not exist");
+            this->findings.add("kept turns", absentMessage(id, previous));
         if (answer.outcome == Outcome::Served) {
             conversation += input;
-            for (int event = 1; event <= eventsPerTurn; ++event)
-                conversation += eventData(id, event) + '\n';
+            for (int event = 1; event <= eventsPerTurn; ++event) {
+                conversation += eventData(id, event);
+                conversation += '\n';
+            }
             previous = id;
         } else {
             std::this_thread::sleep_for(std::chrono::milliseconds(100 + random() % 300));
