Remove unused parameters and fields of the gateway; count resumed streams

Cause: a read of the whole change. forwardEvents and giveUp took arguments that they did not use, ChoiceRequest::scarce and a service's refusedAt were set and never read, and the counter gateway.resumed was published and never counted.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -90,7 +90,7 @@
     case Step::GiveUp:
         break;
     }
-    return this->giveUp(found);
+    return this->giveUp();
 }
 
 // --- Turns of conversations
@@ -307,17 +307,19 @@
 
 CallRunner::Step CallRunner::takeStream(const Route& found, ServerExchange& exchange)
 {
-    if (!this->streamHead)
+    if (!this->streamHead) {
         this->streamHead = exchange.head();
-    else
+    } else {
         ++this->resumptions;
+        this->parts.counters.resumed.add();
+    }
     this->lastEventAt = this->parts.clock.now();
     EventSplitter splitter;
     for (;;) {
         std::string content;
         ExchangeEnd end = exchange.readSome(content, this->stallLimit(found));
         splitter.add(content);
-        Step step = this->forwardEvents(exchange, splitter);
+        Step step = this->forwardEvents(splitter);
         if (step != Step::TryNext)
             return step;
         if (end != ExchangeEnd::Ok) {
@@ -336,7 +338,7 @@
 }
 
 // Writes the whole events that have arrived. TryNext: go on reading.
-CallRunner::Step CallRunner::forwardEvents(ServerExchange&, EventSplitter& splitter)
+CallRunner::Step CallRunner::forwardEvents(EventSplitter& splitter)
 {
     std::string events;
     std::uint64_t count = 0;
@@ -456,7 +458,7 @@
 }
 
 // Every attempt has failed.
-AfterCall CallRunner::giveUp(const Route&)
+AfterCall CallRunner::giveUp()
 {
     if (this->headWritten) {
         this->parts.counters.failed.add();
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -58,7 +58,7 @@
     Step takeAnswer(const Route& route, ServerExchange& exchange);
     Step takeFailure(const Route& route, ServerExchange& exchange);
     Step takeStream(const Route& route, ServerExchange& exchange);
-    Step forwardEvents(ServerExchange& exchange, EventSplitter& splitter);
+    Step forwardEvents(EventSplitter& splitter);
     Step finishStream(const Route& route);
     bool acceptEvent(const StreamEvent& event, bool& duplicate);
     bool mayTryAgain(const Route& route, ExchangeEnd end) const;
@@ -71,7 +71,7 @@
 
     ServerRequest makeRequest(const Route& route, const ServerEntry& server) const;
     AfterCall refuse(int status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt);
-    AfterCall giveUp(const Route& route);
+    AfterCall giveUp();
     Step writeAnswer(const ResponseHead& head, std::string_view content);
     bool writeStreamHead();
     void addConnectionFields(HeaderList& headers) const;
--- a/lovagecross/gateway/ServerBook.cpp
+++ b/lovagecross/gateway/ServerBook.cpp
@@ -88,7 +88,6 @@
         this->rememberPrompt(record, prompt, now);
         break;
     case CallEnd::Refused:
-        service.refusedAt = now;
         record.fullUntil = now + fullPause;
         break;
     case CallEnd::Failed:
--- a/lovagecross/gateway/ServerBook.h
+++ b/lovagecross/gateway/ServerBook.h
@@ -84,7 +84,6 @@
     // Of all servers of a service.
     struct ServiceRecord {
         double meanMillis = 0;
-        TimePoint refusedAt;
     };
 
     Record& recordOf(const ServerEntry& server);
--- a/lovagecross/gateway/ServerChoice.h
+++ b/lovagecross/gateway/ServerChoice.h
@@ -38,7 +38,6 @@
 struct ChoiceRequest {
     std::string_view dataCentre; // of this node
     bool engine = false;
-    bool scarce = false; // calls of the service were refused lately
     std::uint64_t promptTokens = 0;
     std::uint64_t affinityHash = 0; // of the conversation or object; 0: none
 };
