Answer malformed requests of the callers' own API with 400 and close

Cause: POCO's server repeats the request's version token in its status line, throws at a malformed length before any handler is found (the connection closed without an answer, or 500), and takes a malformed chunk for the end of the body, so that what follows is read as the next request. Change: the listener checks each head with the strict parser, always answers as HTTP/1.1, answers 400 to a malformed length on a second descriptor, and closes the connection after a request in chunks. Before: 'HTTQ/1.1 200', an empty answer, two requests read.

--- a/lovagecross/daemon/HttpServer.cpp
+++ b/lovagecross/daemon/HttpServer.cpp
@@ -1,17 +1,25 @@
 #include "lovagecross/daemon/HttpServer.h"
 
+#include "lovagecross/adapters/Log.h"
+#include "lovagecross/http/MessageHead.h"
 #include "lovagecross/runtime/Json.h"
 #include "lovagecross/runtime/ProgramService.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/SharedPtr.h>
 #include <Poco/Timespan.h>
 #include <array>
 #include <atomic>
 #include <istream>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 
 namespace lovagecross {
@@ -24,6 +32,33 @@
 constexpr int keepAliveSeconds = 15;
 constexpr int requestTimeoutSeconds = 30; // a caller that sends its request more slowly is dropped
 
+constexpr std::string_view answerVersion = "HTTP/1.1";
+
+// POCO's parser is lenient. A head that the strict parser refuses is malformed: its framing may be in doubt.
+bool isWellFormed(const Poco::Net::HTTPServerRequest& request)
+{
+    HeaderList headers;
+    for (const auto& [name, value] : request)
+        headers.add(name, value);
+    std::string head = request.getMethod() + ' ' + request.getURI() + ' ' + request.getVersion() + "\r\n";
+    for (const HeaderField& field : headers.fields())
+        head += field.name + ": " + field.value + "\r\n";
+    return parseRequestHead(head + "\r\n").problem == HeadProblem::None;
+}
+
+// Answers a malformed request and closes its connection.
+class MalformedHandler final : public Poco::Net::HTTPRequestHandler {
+public:
+    void handleRequest(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse& response) override
+    {
+        response.setVersion(std::string(answerVersion)); // POCO repeats what the request has in place of a version
+        response.setKeepAlive(false);
+        sendAnswer(response,
+            errorAnswer(
+                { ErrorCode::BadRequest, "the head of the request is malformed", {}, RunState::NotRun, Duration(0) }));
+    }
+};
+
 class FunctionHandler final : public Poco::Net::HTTPRequestHandler {
 public:
     FunctionHandler(HttpHandler handler, std::shared_ptr<std::atomic<int>> active)
@@ -35,6 +70,10 @@
     void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
     {
         ++*this->active;
+        response.setVersion(std::string(answerVersion));
+        // POCO takes a malformed chunk for the end of the body; what follows must not be read as a request.
+        if (request.getChunkedTransferEncoding())
+            response.setKeepAlive(false);
         try {
             this->handler(request, response);
         } catch (const std::exception& error) {
@@ -58,8 +97,13 @@
     {
     }
 
-    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override
+    // Ends the connections; `abort` also those with a request under way.
+    void stopConnections(bool abort) { this->serverStopped(this, abort); }
+
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& request) override
     {
+        if (!isWellFormed(request))
+            return new MalformedHandler;
         return new FunctionHandler(this->handler, this->active);
     }
 
@@ -68,6 +112,48 @@
     std::shared_ptr<std::atomic<int>> active;
 };
 
+class GuardedConnection final : public Poco::Net::HTTPServerConnection {
+public:
+    using Poco::Net::HTTPServerConnection::HTTPServerConnection;
+
+    // POCO throws at a malformed length before it looks for a handler, and has closed the socket by then without an
+    // answer: a second descriptor of the connection is kept for it.
+    void run() override
+    {
+        int descriptor = ::dup(this->socket().impl()->sockfd());
+        try {
+            Poco::Net::HTTPServerConnection::run();
+        } catch (const Poco::DataException&) {
+            constexpr std::string_view answer
+                = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: Close\r\n\r\n";
+            if (descriptor >= 0 && ::send(descriptor, answer.data(), answer.size(), MSG_NOSIGNAL) < 0)
+                LogLine(LogLevel::Info, "caller_left").field("status", 400).write();
+        } catch (const std::exception& error) {
+            LogLine(LogLevel::Info, "caller_connection").field("error", error.what()).write();
+        }
+        if (descriptor >= 0)
+            ::close(descriptor);
+    }
+};
+
+class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory {
+public:
+    ConnectionFactory(Poco::Net::HTTPServerParams::Ptr serverParams, Poco::SharedPtr<FunctionHandlerFactory> handlers)
+        : params(std::move(serverParams))
+        , handlerFactory(std::move(handlers))
+    {
+    }
+
+    Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override
+    {
+        return new GuardedConnection(socket, this->params, this->handlerFactory);
+    }
+
+private:
+    Poco::Net::HTTPServerParams::Ptr params;
+    Poco::SharedPtr<FunctionHandlerFactory> handlerFactory;
+};
+
 } // namespace
 
 Result<std::string> readBody(Poco::Net::HTTPServerRequest& request, std::size_t maxBytes)
@@ -131,8 +217,11 @@
     params->setKeepAlive(true);
     params->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
     params->setTimeout(Poco::Timespan(requestTimeoutSeconds, 0));
-    this->server = std::make_unique<Poco::Net::HTTPServer>(
-        new FunctionHandlerFactory(std::move(handler), this->activeRequests), this->threads, socket, params);
+    Poco::SharedPtr<FunctionHandlerFactory> handlers(
+        new FunctionHandlerFactory(std::move(handler), this->activeRequests));
+    this->stopConnections = [handlers]() mutable { handlers->stopConnections(true); };
+    this->server = std::make_unique<Poco::Net::TCPServer>(
+        new ConnectionFactory(params, handlers), this->threads, socket, params);
 }
 
 HttpListener::~HttpListener()
@@ -153,7 +242,7 @@
     auto end = std::chrono::steady_clock::now() + longest;
     while (*this->activeRequests > 0 && std::chrono::steady_clock::now() < end)
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    this->server->stopAll(true);
+    this->stopConnections();
 }
 
 } // namespace lovagecross
--- a/lovagecross/daemon/HttpServer.h
+++ b/lovagecross/daemon/HttpServer.h
@@ -9,9 +9,9 @@
 #include "lovagecross/ports/Peer.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 #include <functional>
 #include <memory>
@@ -49,7 +49,8 @@
 
 private:
     Poco::ThreadPool threads;
-    std::unique_ptr<Poco::Net::HTTPServer> server;
+    std::unique_ptr<Poco::Net::TCPServer> server;
+    std::function<void()> stopConnections;
     std::shared_ptr<std::atomic<int>> activeRequests;
     bool stopped = false;
 };
