Record nodes: the platform votes with the last two, members leave before they stop, gone ones are removed

Change: while an even number of members is left that is smaller than 2f+1, the platform is one more replica of budgets (PlatformRecords, one object a program, conditional update). A member may vote beside it only after it has fetched what former majorities accepted. Changes: on SIGTERM a member leaves and waits until others hold what it held, if more than 2f+1 are there; members silent for 10 s are removed; a new disk is no source of old records; after more losses than tolerated, nodes go on with what is left and log it. Also: turns kept at the platform are brought to the disks and removed there 20 s later; expired budgets go. Ruled out: more replicas (2f+2), which would load the record nodes of large deployments by a fifth.

--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -328,6 +328,7 @@
 
     void stop()
     {
+        this->records.leaveBeforeStop(milliseconds(this->base.settings.graceMillis) - lastWords);
         this->base.peers.stop();
         this->records.stop();
     }
--- /dev/null
+++ b/lovagecross/records/PlatformRecords.cpp
@@ -0,0 +1,184 @@
+#include "lovagecross/records/PlatformRecords.h"
+
+#include "lovagecross/adapters/Log.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace lovagecross {
+
+namespace {
+
+constexpr std::string_view keptTurnPrefix = "kept-turns/";
+constexpr std::string_view budgetPrefix = "token-budgets/";
+constexpr int voteAttempts = 4; // other entry nodes may write the same program's object
+
+// Names of objects have a small alphabet; ids of callers may hold any byte.
+std::string keyOf(std::string_view prefix, std::string_view id)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string key(prefix);
+    for (char character : id) {
+        auto byte = static_cast<unsigned char>(character);
+        key += digits[byte >> 4U];
+        key += digits[byte & 15U];
+    }
+    return key;
+}
+
+// {"records":"BASE64"}, the bytes being those of a record message.
+std::string printRecords(const RecordResponse& records)
+{
+    std::ostringstream text;
+    Poco::Base64Encoder encoder(text);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << encodeRecordResponse(records);
+    encoder.close();
+    return "{\"records\":\"" + text.str() + "\"}";
+}
+
+std::optional<RecordResponse> parseRecords(std::string_view value)
+{
+    std::size_t start = value.find(":\"");
+    std::size_t end = value.rfind('"');
+    if (start == std::string_view::npos || end <= start + 2)
+        return std::nullopt;
+    std::istringstream input(std::string(value.substr(start + 2, end - start - 2)));
+    Poco::Base64Decoder decoder(input);
+    std::ostringstream bytes;
+    bytes << decoder.rdbuf();
+    return decodeRecordResponse(bytes.str());
+}
+
+bool allExpired(const RecordResponse& records, std::int64_t nowUnixMillis)
+{
+    return std::all_of(records.reservations.begin(), records.reservations.end(),
+        [nowUnixMillis](const Reservation& record) { return record.expiresUnixMillis < nowUnixMillis; });
+}
+
+} // namespace
+
+PlatformRecords::PlatformRecords(ObjectStore& objectStore, Counters& counters)
+    : store(objectStore)
+    , turnsKept(counters.counter("records.platformTurns"))
+    , votes(counters.counter("records.platformVotes"))
+    , removed(counters.counter("records.platformRemoved"))
+{
+}
+
+bool PlatformRecords::keepTurn(const StoredTurn& turn)
+{
+    RecordResponse records;
+    records.turns.push_back(turn);
+    StoreResult stored = this->store.create(keyOf(keptTurnPrefix, turn.id), printRecords(records));
+    bool kept = stored.ok() || stored.status == StoreStatus::Conflict; // written by an earlier try
+    this->turnsKept.add(kept ? 1 : 0);
+    LogLine(LogLevel::Info, "turn_kept_at_platform")
+        .field("request", turn.id)
+        .field("status", storeStatusNames.name(stored.status))
+        .write();
+    return kept;
+}
+
+TurnRead PlatformRecords::readTurn(const std::string& id, StoredTurn& turn)
+{
+    StoreResult stored = this->store.get(keyOf(keptTurnPrefix, id));
+    if (stored.status == StoreStatus::NotFound)
+        return TurnRead::Absent;
+    auto records = stored.ok() ? parseRecords(stored.object.value) : std::nullopt;
+    if (!records || records->turns.empty() || records->turns.front().id != id)
+        return TurnRead::Unavailable;
+    turn = std::move(records->turns.front());
+    return TurnRead::Found;
+}
+
+PlatformVote PlatformRecords::reserve(const Reservation& reservation, ProgramReservations known, std::uint64_t budget)
+{
+    std::string key = keyOf(budgetPrefix, reservation.program);
+    for (int attempt = 0; attempt < voteAttempts; ++attempt) {
+        StoreResult stored = this->store.get(key);
+        bool exists = stored.ok();
+        if (!exists && stored.status != StoreStatus::NotFound)
+            return PlatformVote::Unavailable;
+        RecordResponse records;
+        if (exists) {
+            auto parsed = parseRecords(stored.object.value);
+            if (!parsed)
+                return PlatformVote::Unavailable;
+            records = std::move(*parsed);
+        }
+        bool isThere = false; // written by an earlier try
+        for (const Reservation& other : records.reservations) {
+            mergeReservation(known, other);
+            isThere = isThere || other.requestId == reservation.requestId;
+        }
+        if (usedTokens(known, reservation.requestId) + reservation.tokens > budget)
+            return PlatformVote::Exhausted;
+        if (isThere)
+            return PlatformVote::Accepted;
+        records.reservations.push_back(reservation);
+        std::string value = printRecords(records);
+        StoreResult written
+            = exists ? this->store.update(key, value, stored.object.version) : this->store.create(key, value);
+        if (written.ok()) {
+            this->votes.add();
+            return PlatformVote::Accepted;
+        }
+        if (written.status != StoreStatus::Conflict)
+            return PlatformVote::Unavailable;
+    }
+    return PlatformVote::Unavailable;
+}
+
+std::optional<std::vector<Reservation>> PlatformRecords::reservations()
+{
+    ListResult listed = this->store.list(budgetPrefix, true);
+    if (listed.status != StoreStatus::Ok)
+        return std::nullopt;
+    std::vector<Reservation> all;
+    for (const StoredObject& object : listed.objects) {
+        auto records = parseRecords(object.value);
+        if (!records) {
+            LogLine(LogLevel::Error, "platform_record_unreadable").field("key", object.key).write();
+            return std::nullopt;
+        }
+        all.insert(all.end(), records->reservations.begin(), records->reservations.end());
+    }
+    return all;
+}
+
+std::optional<std::vector<StoredTurn>> PlatformRecords::turns()
+{
+    ListResult listed = this->store.list(keptTurnPrefix, true);
+    if (listed.status != StoreStatus::Ok)
+        return std::nullopt;
+    std::vector<StoredTurn> all;
+    for (const StoredObject& object : listed.objects) {
+        if (auto records = parseRecords(object.value))
+            all.insert(all.end(), records->turns.begin(), records->turns.end());
+        else
+            LogLine(LogLevel::Error, "platform_record_unreadable").field("key", object.key).write();
+    }
+    return all;
+}
+
+void PlatformRecords::removeTurn(const std::string& id)
+{
+    StoreResult gone = this->store.remove(keyOf(keptTurnPrefix, id), 0);
+    this->removed.add(gone.ok() ? 1 : 0);
+}
+
+void PlatformRecords::removeExpiredBudgets(std::int64_t nowUnixMillis)
+{
+    for (const StoredObject& object : this->store.list(budgetPrefix, true).objects) {
+        auto records = parseRecords(object.value);
+        if (!records || !allExpired(*records, nowUnixMillis))
+            continue;
+        this->removed.add(this->store.remove(object.key, object.version).ok() ? 1 : 0);
+    }
+}
+
+} // namespace lovagecross
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -2,11 +2,8 @@
 
 #include "lovagecross/adapters/Log.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
 #include <algorithm>
 #include <functional>
-#include <sstream>
 #include <utility>
 
 namespace lovagecross {
@@ -19,6 +16,9 @@
 constexpr Duration rosterRetryInterval = milliseconds(300); // while none is known
 constexpr Duration inspectTimeout = milliseconds(500);
 constexpr Duration voteTimeout = milliseconds(300); // of one round; a lost packet comes again after 200 ms
+constexpr Duration platformVoteTimeout = milliseconds(100); // of a round after which the platform is asked
+constexpr Duration hurriedVoteTimeout = milliseconds(15); // the same, shortly after a replica was silent
+constexpr Duration hurryTime = std::chrono::seconds(1);
 constexpr Duration longestReserve = milliseconds(900);
 constexpr Duration probeTimeout = milliseconds(200);
 constexpr Duration probeInterval = milliseconds(150); // while no majority answers
@@ -28,7 +28,6 @@
 constexpr Duration readTimeout = milliseconds(500);
 constexpr Duration retryPause = milliseconds(20);
 constexpr std::size_t maxChainTurns = 4096;
-constexpr std::string_view keptTurnPrefix = "kept-turns/";
 
 // A record outlives its retention by this much: clocks differ, and a turn that is being continued must not vanish.
 constexpr std::int64_t expiryMarginMillis = 60'000;
@@ -38,44 +37,13 @@
     return clock.unixMillis() + 2 * toMillis(retention) + expiryMarginMillis;
 }
 
-std::string objectKeyOf(const std::string& turnId)
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string key(keptTurnPrefix);
-    for (char character : turnId) {
-        auto byte = static_cast<unsigned char>(character);
-        key += digits[byte >> 4U];
-        key += digits[byte & 15U];
-    }
-    return key;
-}
-
-std::string encodeBase64(const std::string& bytes)
-{
-    std::ostringstream text;
-    Poco::Base64Encoder encoder(text);
-    encoder.rdbuf()->setLineLength(0);
-    encoder << bytes;
-    encoder.close();
-    return text.str();
-}
-
-std::string decodeBase64(const std::string& text)
-{
-    std::istringstream input(text);
-    Poco::Base64Decoder decoder(input);
-    std::ostringstream bytes;
-    bytes << decoder.rdbuf();
-    return bytes.str();
-}
-
 } // namespace
 
 RecordClient::RecordClient(RecordClientSettings clientSettings, RecordNodeParts clientParts)
     : settings(std::move(clientSettings))
     , parts(clientParts)
     , cache(this->settings.cacheBytes)
-    , platformCopies(clientParts.counters.counter("records.platformCopies"))
+    , platform(clientParts.store, clientParts.counters)
 {
 }
 
@@ -343,7 +311,7 @@
         std::size_t majority = majorityOf(replicas.size());
         if (replicas.empty())
             break;
-        Duration timeout = std::min<Duration>(until - this->parts.clock.now(), voteTimeout);
+        Duration timeout = this->voteWait(roster, until);
         sent = true;
         Answers answers
             = this->askReplicas(roster, replicas, ReserveRequest { roster.epoch, reservation, request.budget }, timeout,
@@ -365,6 +333,13 @@
             return { GrantStatus::Granted, used, Duration(0) };
         if (answers.oldEpoch)
             continue;
+        PlatformVote vote = this->askPlatform(roster, answers, others, reservation, request.budget);
+        if (vote == PlatformVote::Accepted)
+            return { GrantStatus::Granted, used, Duration(0) };
+        if (vote == PlatformVote::Exhausted) {
+            this->settle(request, 0);
+            return { GrantStatus::Exhausted, used, Duration(0) };
+        }
         if (answers.answered < majority)
             this->noteRound(answers, false, false);
         std::this_thread::sleep_for(retryPause);
@@ -374,6 +349,40 @@
     return { GrantStatus::Unavailable, 0, this->pauseForCaller() };
 }
 
+// How long a round of votes may take. Where the platform votes too, a replica that was silent lately is not waited for.
+Duration RecordClient::voteWait(const Roster& known, TimePoint until) const
+{
+    TimePoint now = this->parts.clock.now();
+    Duration longest = std::min<Duration>(until - now, voteTimeout);
+    if (!platformVotes(known, this->settings.tolerance))
+        return longest;
+    std::lock_guard lock(this->mutex);
+    return std::min(longest, now < this->hurryUntil ? hurriedVoteTimeout : platformVoteTimeout);
+}
+
+// The platform's vote, where it is a replica and its vote makes a majority with those of the members. They must have
+// what former majorities have accepted: a member that has not fetched it yet knows too little for that.
+PlatformVote RecordClient::askPlatform(const Roster& known, const Answers& answers, const ProgramReservations& others,
+    const Reservation& reservation, std::uint64_t budget)
+{
+    bool filled = std::all_of(answers.responses.begin(), answers.responses.end(),
+        [&](const RecordResponse& response) { return response.filledEpoch >= known.epoch; });
+    bool decides = answers.accepted.size() + 1 >= majorityOf(known.members.size());
+    if (!platformVotes(known, this->settings.tolerance) || answers.accepted.empty() || !filled || !decides)
+        return PlatformVote::Unavailable;
+    PlatformVote vote = this->platform.reserve(reservation, others, budget);
+    LogLine(LogLevel::Info, "platform_vote")
+        .field("request", reservation.requestId)
+        .field("program", reservation.program)
+        .field("vote", platformVoteNames.name(vote))
+        .field("epoch", known.epoch)
+        .field("answered", answers.answered)
+        .write();
+    std::lock_guard lock(this->mutex);
+    this->hurryUntil = this->parts.clock.now() + hurryTime;
+    return vote;
+}
+
 void RecordClient::settle(const GrantRequest& request, std::uint64_t usedTokens)
 {
     Reservation reservation { request.program, request.requestId, usedTokens, true,
@@ -404,7 +413,7 @@
         if (!kept && answers.oldEpoch && this->parts.clock.now() < until)
             continue;
         if (!kept)
-            kept = this->keepAtPlatform(record, turn.expiresUnixMillis);
+            kept = this->platform.keepTurn(turn);
         if (this->parts.clock.now() >= until || this->reach() == Reach::Cut)
             break; // the caller's next try reaches another node
     }
@@ -413,38 +422,6 @@
     return kept;
 }
 
-bool RecordClient::keepAtPlatform(const TurnRecord& record, std::int64_t expiresUnixMillis)
-{
-    StoredTurn turn { record.id, record.previous, record.input, record.output, record.program, expiresUnixMillis };
-    std::string value = "{\"turn\":\"" + encodeBase64(encodeLoggedEntry(turn)) + "\"}";
-    StoreResult stored = this->parts.store.create(objectKeyOf(record.id), value);
-    bool kept = stored.ok() || stored.status == StoreStatus::Conflict; // written by an earlier try
-    this->platformCopies.add(kept ? 1 : 0);
-    LogLine(LogLevel::Info, "turn_kept_at_platform")
-        .field("request", record.id)
-        .field("status", storeStatusNames.name(stored.status))
-        .write();
-    return kept;
-}
-
-bool RecordClient::readFromPlatform(const std::string& id, StoredTurn& turn, bool& absent)
-{
-    StoreResult stored = this->parts.store.get(objectKeyOf(id));
-    absent = stored.status == StoreStatus::NotFound;
-    if (!stored.ok())
-        return false;
-    std::size_t start = stored.object.value.find(":\"");
-    std::size_t end = stored.object.value.rfind('"');
-    if (start == std::string::npos || end <= start + 2)
-        return false;
-    auto entry = decodeLoggedEntry(decodeBase64(stored.object.value.substr(start + 2, end - start - 2)));
-    auto* found = entry ? std::get_if<StoredTurn>(&*entry) : nullptr;
-    if (found == nullptr || found->id != id)
-        return false;
-    turn = std::move(*found);
-    return true;
-}
-
 Chain RecordClient::chain(const std::string& id, TimePoint deadline)
 {
     Chain result;
@@ -508,12 +485,12 @@
     if (found.count(id) > 0)
         return true;
     StoredTurn turn;
-    bool notAtPlatform = false;
-    if (this->readFromPlatform(id, turn, notAtPlatform)) {
+    TurnRead read = this->platform.readTurn(id, turn);
+    if (read == TurnRead::Found) {
         found.emplace(id, std::move(turn));
         return true;
     }
-    absent = notAtPlatform && !all.empty() && answers.complete == all.size();
+    absent = read == TurnRead::Absent && !all.empty() && answers.complete == all.size();
     return false;
 }
 
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -18,6 +18,7 @@
 #include "lovagecross/gateway/Turns.h"
 #include "lovagecross/ports/ObjectStore.h"
 #include "lovagecross/ports/Peer.h"
+#include "lovagecross/records/PlatformRecords.h"
 #include "lovagecross/records/ReachTracker.h"
 #include "lovagecross/records/RecordMessages.h"
 #include "lovagecross/records/RecordNode.h"
@@ -78,8 +79,9 @@
     Duration pauseForCaller() const;
     void probe();
     void askOpinions(const Roster& known);
-    bool keepAtPlatform(const TurnRecord& record, std::int64_t expiresUnixMillis);
-    bool readFromPlatform(const std::string& id, StoredTurn& turn, bool& absent);
+    Duration voteWait(const Roster& known, TimePoint until) const;
+    PlatformVote askPlatform(const Roster& known, const Answers& answers, const ProgramReservations& others,
+        const Reservation& reservation, std::uint64_t budget);
     bool readMissing(const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent);
     Answers readFrom(const Roster& known, const std::vector<const RosterMember*>& members, const std::string& id,
         Duration timeout, std::map<std::string, StoredTurn>& found);
@@ -91,14 +93,15 @@
     const RecordClientSettings settings;
     const RecordNodeParts parts;
     TurnCache cache;
+    PlatformRecords platform;
     mutable std::mutex mutex; // guards what follows
     Roster current;
     ReachTracker tracker;
     TimePoint nextFollow;
+    TimePoint hurryUntil; // a replica was silent lately: the platform is asked sooner
     std::condition_variable wake;
     bool stopping = false;
     std::thread thread;
-    Counter& platformCopies;
 };
 
 } // namespace lovagecross
--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -20,16 +20,17 @@
 #include "lovagecross/base/Clock.h"
 #include "lovagecross/ports/ObjectStore.h"
 #include "lovagecross/ports/Peer.h"
+#include "lovagecross/records/MemberWatch.h"
+#include "lovagecross/records/PlatformRecords.h"
 #include "lovagecross/records/RecordLog.h"
 #include "lovagecross/records/RecordMessages.h"
 #include "lovagecross/records/RecordTable.h"
 #include "lovagecross/records/Roster.h"
 
-#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
-#include <set>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -38,6 +39,12 @@
 
 inline constexpr std::string_view rosterKey = "record-rosters/main"; // the roster's object at the platform
 
+namespace detail {
+
+inline constexpr std::size_t fillPageBytes = 256 * 1024;
+
+} // namespace detail
+
 struct RecordNodeSettings {
     std::string node;
     std::string address; // peer address
@@ -46,6 +53,7 @@
     std::size_t diskBytes = 0; // that the log may take
     bool firstStart = false; // the whole system starts for the first time, with empty disks
     Tolerance tolerance;
+    Duration memberGoneAfter = MemberWatch::defaultGoneAfter; // a silent member is then removed from the roster
 };
 
 struct RecordNodeParts {
@@ -71,9 +79,14 @@
 
     RecordResponse handle(const RecordRequest& request);
 
+    // Leaves the roster; `retired` once enough others hold what this node held.
     void retire();
     bool retired() const;
 
+    // Before the process ends on order: leaves the roster if enough members are left, and waits up to `longest` until
+    // others hold what this node held. The VM may be taken away after it.
+    void leaveBeforeStop(Duration longest);
+
     // Whether it is a member with every record that it should hold.
     bool ready() const;
     Roster roster() const;
@@ -92,14 +105,20 @@
     void maintain();
     StoreStatus refreshRoster();
     bool adopt(const Roster& next, bool joinedNow);
+    void planFill(const Roster& next);
     bool isMember() const;
     bool holdsGroup(std::string_view group) const;
     void join();
     bool writeRoster(const Roster& next, std::uint64_t version);
     std::vector<std::string> unreachableMembers(const Roster& current);
     void fill();
+    bool restIsLost(bool allMembersFetched, std::size_t fetched, std::size_t needed);
     bool fetchFrom(const RosterMember& source);
+    bool fetchFromPlatform();
     void takeFetched(const RecordResponse& page);
+    void careForOthers(TimePoint now, bool filled);
+    void removeGoneMember(const Roster& roster);
+    void drainPlatform(const Roster& roster);
     void leave();
     void expire();
     RecordResponse ask(const std::string& address, const RecordRequest& request, Duration timeout, bool& answered);
@@ -116,10 +135,10 @@
     RecordTable table;
     Roster current;
     bool complete = false; // holds every record that a replica of its groups should hold
-    bool wasMember = false; // of any roster, with this disk
     std::uint64_t filledEpoch = 0;
     std::vector<RosterMember> sources; // members of the rosters that the records to fetch may lie with
     std::size_t sourcesNeeded = 0;
+    bool platformIsSource = false; // reservations may lie at the platform only
     bool retireRequested = false;
     bool isRetired = false;
 
@@ -131,6 +150,14 @@
     std::uint64_t rosterVersion = 0; // of the object at the platform; used by the maintenance thread only
     TimePoint nextRefresh;
     TimePoint nextExpiry;
+    TimePoint nextMemberCheck;
+    TimePoint nextPlatformDrain;
+
+    // Used by the maintenance thread only.
+    MemberWatch watch;
+    PlatformRecords platform;
+    std::optional<TimePoint> shortOfSourcesSince;
+    std::vector<std::string> drained; // turns that now lie on enough disks and are still at the platform
 
     std::mutex wakeMutex;
     std::condition_variable wake;
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -170,6 +170,12 @@
     CPPUNIT_TEST(platformKeepsTurnsWithoutDisks);
     CPPUNIT_TEST(restartWithoutThePlatformServesAtOnce);
     CPPUNIT_TEST(settledTokensAreFreeAgain);
+    CPPUNIT_TEST(platformVotesWithTheLastTwoNodes);
+    CPPUNIT_TEST(grantsOfThePlatformOutliveARosterChange);
+    CPPUNIT_TEST(nodeThatStopsHandsOverWhatItHolds);
+    CPPUNIT_TEST(goneNodeIsRemovedFromTheRoster);
+    CPPUNIT_TEST(turnsAtThePlatformComeToTheDisks);
+    CPPUNIT_TEST(servesAgainAfterMoreLossesThanTolerated);
     CPPUNIT_TEST_SUITE_END();
 
     LoopbackNetwork network;
@@ -373,6 +379,116 @@
         this->store.setUnavailable(false);
     }
 
+    void retireThird()
+    {
+        this->nodes[2]->node->retire();
+        CPPUNIT_ASSERT(waitFor([this] { return this->nodes[2]->node->retired(); }));
+        this->nodes[2]->wipe();
+        CPPUNIT_ASSERT(waitFor([this] {
+            return this->allAgree(2) && this->client->roster().epoch == this->nodes[0]->node->roster().epoch;
+        }));
+    }
+
+    // With one of three nodes retired, the loss of another one ended every grant.
+    void platformVotesWithTheLastTwoNodes()
+    {
+        for (int i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT(this->reserve("before" + std::to_string(i)) == GrantStatus::Granted);
+        this->retireThird();
+        CPPUNIT_ASSERT(waitFor([this] { return this->reserve("both") == GrantStatus::Granted; }));
+        int granted = 4;
+        for (int i = 0; i < 12; ++i) {
+            std::string cut = this->nodes[static_cast<std::size_t>(i) % 2]->settings.address;
+            this->network.cut(cut, true);
+            granted += this->reserve("r" + std::to_string(i)) == GrantStatus::Granted ? 1 : 0;
+            this->network.cut(cut, false);
+        }
+        CPPUNIT_ASSERT_EQUAL(10, granted);
+        this->store.setUnavailable(true);
+        CPPUNIT_ASSERT(this->reserve("both again") == GrantStatus::Exhausted);
+        this->store.setUnavailable(false);
+    }
+
+    // A grant that one member and the platform have given must be known to a majority without both of them.
+    void grantsOfThePlatformOutliveARosterChange()
+    {
+        this->retireThird();
+        this->network.cut(this->nodes[0]->settings.address, true);
+        for (int i = 0; i < 10; ++i)
+            CPPUNIT_ASSERT(this->reserve("r" + std::to_string(i)) == GrantStatus::Granted);
+        this->network.cut(this->nodes[0]->settings.address, false);
+        this->nodes[2]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(3); }));
+        this->network.cut(this->nodes[1]->settings.address, true);
+        CPPUNIT_ASSERT(waitFor([this] { return this->reserve("later") == GrantStatus::Exhausted; }));
+    }
+
+    // The successor had come already when the old node was stopped for good. The loss of one more disk was one too
+    // many.
+    void nodeThatStopsHandsOverWhatItHolds()
+    {
+        CPPUNIT_ASSERT_EQUAL(10, this->grantUntilSpent("r"));
+        CPPUNIT_ASSERT(this->keep("t1", ""));
+        this->nodes.push_back(std::make_unique<TestNode>("n7004", "c", this->network, this->store));
+        this->nodes[3]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(4); }));
+        this->nodes[2]->node->leaveBeforeStop(std::chrono::seconds(5));
+        CPPUNIT_ASSERT(this->nodes[2]->node->retired());
+        this->nodes[2]->wipe();
+        this->nodes[0]->wipe();
+        this->nodes[0]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(3); }));
+        CPPUNIT_ASSERT(this->reserve("later") == GrantStatus::Exhausted);
+        this->client->stop();
+        this->client = this->newClient();
+        CPPUNIT_ASSERT(this->client->chain("t1", this->soon()).status == ChainStatus::Found);
+    }
+
+    void goneNodeIsRemovedFromTheRoster()
+    {
+        this->nodes[0]->stop();
+        this->nodes[0]->settings.memberGoneAfter = std::chrono::seconds(1);
+        this->nodes[0]->start(false);
+        this->nodes.push_back(std::make_unique<TestNode>("n7004", "c", this->network, this->store));
+        this->nodes[3]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(4); }));
+        this->nodes[2]->stop();
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(3); }));
+        CPPUNIT_ASSERT(this->nodes[0]->node->roster().find("n7003") == nullptr);
+    }
+
+    // One of four nodes was gone for good and another one had lost its disk: no node ever voted again.
+    void servesAgainAfterMoreLossesThanTolerated()
+    {
+        this->nodes.push_back(std::make_unique<TestNode>("n7004", "c", this->network, this->store));
+        this->nodes[3]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(4); }));
+        this->nodes[0]->stop();
+        this->nodes[0]->settings.memberGoneAfter = std::chrono::seconds(1);
+        this->nodes[0]->start(false);
+        this->nodes[2]->stop();
+        this->nodes[1]->wipe();
+        this->nodes[1]->start(false);
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgree(3); }));
+        CPPUNIT_ASSERT(this->reserve("later") == GrantStatus::Granted);
+    }
+
+    void turnsAtThePlatformComeToTheDisks()
+    {
+        this->network.cut(this->nodes[1]->settings.address, true);
+        this->network.cut(this->nodes[2]->settings.address, true);
+        CPPUNIT_ASSERT(this->keep("t1", ""));
+        this->network.cut(this->nodes[1]->settings.address, false);
+        this->network.cut(this->nodes[2]->settings.address, false);
+        this->nodes[0]->stop();
+        this->nodes[0]->start(false); // looks at the platform soon after its start
+        CPPUNIT_ASSERT(waitFor([this] {
+            ReadChainRequest read { "t1" };
+            return this->nodes[1]->node->handle(read).status == RecordStatus::Ok
+                && this->nodes[2]->node->handle(read).status == RecordStatus::Ok;
+        }));
+    }
+
     void settledTokensAreFreeAgain()
     {
         CPPUNIT_ASSERT(this->reserve("r1", 900) == GrantStatus::Granted);
--- a/lovagecross/records/Roster.cpp
+++ b/lovagecross/records/Roster.cpp
@@ -110,6 +110,12 @@
     return replicas / 2 + 1;
 }
 
+bool platformVotes(const Roster& roster, const Tolerance& tolerance)
+{
+    std::size_t members = roster.members.size();
+    return members > 0 && members % 2 == 0 && members < 2U * tolerance.machines + 1;
+}
+
 bool enoughCopies(const std::vector<const RosterMember*>& holders, const Tolerance& tolerance)
 {
     std::set<std::string_view> dataCentres;
--- a/lovagecross/records/Roster.h
+++ b/lovagecross/records/Roster.h
@@ -52,6 +52,10 @@
 
 std::size_t majorityOf(std::size_t replicas);
 
+// Whether the platform is one more replica of every token budget: while an even number of members is left that is too
+// small for the tolerance. A majority of the members and the platform is then as large as one of the members alone.
+bool platformVotes(const Roster& roster, const Tolerance& tolerance);
+
 // Copies that a kept turn needs before its answer is final, and whether they are in enough data centres.
 bool enoughCopies(const std::vector<const RosterMember*>& holders, const Tolerance& tolerance);
 
