Entry nodes: a lost record node is no cut while the platform votes

Change: the probe needs one member fewer while the platform votes; a vote of the platform counts as a round that found enough; after a vote that the platform did not give it is left alone for 300 ms. Test: platformVotesWithTheLastTwoNodes, failed before.

--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -18,6 +18,7 @@
 constexpr Duration voteTimeout = milliseconds(300); // of one round; a lost packet comes again after 200 ms
 constexpr Duration platformVoteTimeout = milliseconds(100); // of a round after which the platform is asked
 constexpr Duration hurriedVoteTimeout = milliseconds(15); // the same, shortly after a replica was silent
+constexpr Duration platformPause = milliseconds(300); // after a vote that the platform did not give
 constexpr Duration hurryTime = std::chrono::seconds(1);
 constexpr Duration longestReserve = milliseconds(900);
 constexpr Duration probeTimeout = milliseconds(200);
@@ -123,7 +124,8 @@
     std::vector<const RosterMember*> members;
     for (const RosterMember& member : roster.members)
         members.push_back(&member);
-    std::size_t majority = majorityOf(members.size());
+    bool platformHelps = platformVotes(roster, this->settings.tolerance);
+    std::size_t majority = majorityOf(members.size()) - (platformHelps ? 1 : 0);
     Answers answers = this->askReplicas(roster, members, InspectRequest {}, probeTimeout,
         [majority](const Answers& so) { return so.accepted.size() >= majority; });
     bool enough = answers.accepted.size() >= majority;
@@ -334,6 +336,8 @@
         if (answers.oldEpoch)
             continue;
         PlatformVote vote = this->askPlatform(roster, answers, others, reservation, request.budget);
+        if (vote != PlatformVote::Unavailable)
+            this->noteRound(answers, true, false);
         if (vote == PlatformVote::Accepted)
             return { GrantStatus::Granted, used, Duration(0) };
         if (vote == PlatformVote::Exhausted) {
@@ -370,6 +374,11 @@
     bool decides = answers.accepted.size() + 1 >= majorityOf(known.members.size());
     if (!platformVotes(known, this->settings.tolerance) || answers.accepted.empty() || !filled || !decides)
         return PlatformVote::Unavailable;
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->parts.clock.now() < this->platformAwayUntil)
+            return PlatformVote::Unavailable;
+    }
     PlatformVote vote = this->platform.reserve(reservation, others, budget);
     LogLine(LogLevel::Info, "platform_vote")
         .field("request", reservation.requestId)
@@ -378,8 +387,11 @@
         .field("epoch", known.epoch)
         .field("answered", answers.answered)
         .write();
+    TimePoint now = this->parts.clock.now();
     std::lock_guard lock(this->mutex);
-    this->hurryUntil = this->parts.clock.now() + hurryTime;
+    this->hurryUntil = now + hurryTime;
+    if (vote == PlatformVote::Unavailable)
+        this->platformAwayUntil = now + platformPause;
     return vote;
 }
 
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -98,6 +98,7 @@
     Roster current;
     ReachTracker tracker;
     TimePoint nextFollow;
+    TimePoint platformAwayUntil; // it is not asked for votes before
     TimePoint hurryUntil; // a replica was silent lately: the platform is asked sooner
     std::condition_variable wake;
     bool stopping = false;
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -404,6 +404,16 @@
             this->network.cut(cut, false);
         }
         CPPUNIT_ASSERT_EQUAL(10, granted);
+        // The node that was missed must not make this one refuse calls as if it were cut off.
+        this->network.cut(this->nodes[1]->settings.address, true);
+        for (int i = 0; i < 6; ++i) {
+            GrantRequest request { "other program", "r" + std::to_string(i), 1, 1000, std::chrono::seconds(60) };
+            CPPUNIT_ASSERT(this->client->reserve(request, this->soon()).status == GrantStatus::Granted);
+            CPPUNIT_ASSERT(this->keep("k" + std::to_string(i), ""));
+            std::this_thread::sleep_for(milliseconds(200));
+            CPPUNIT_ASSERT(!this->client->shouldTurnAway() && this->client->reach() != Reach::Cut);
+        }
+        this->network.cut(this->nodes[1]->settings.address, false);
         this->store.setUnavailable(true);
         CPPUNIT_ASSERT(this->reserve("both again") == GrantStatus::Exhausted);
         this->store.setUnavailable(false);
