Record nodes: a roster change moves only some groups, and votes on the others go on

Records of groups that a node did not hold were skipped while the cursor went on, so a later gain of the group would have missed them. Change: Holdings (pure) knows for each group whether this node held it throughout, or has fetched it from so many former replicas that each former majority is among them; sources send only the groups that were gained; a data centre's bounded share of replicas is used in the count. A source counts only if it had itself fetched all of the former roster. Tests: HoldingsTest (eight), recordsTests pass.

--- /dev/null
+++ b/lovagecross/records/HoldingsTest.cpp
@@ -0,0 +1,197 @@
+#include "lovagecross/records/Holdings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lovagecross {
+
+namespace {
+
+constexpr Tolerance tolerance { 2, 1 };
+
+// Nine members in three data centres, as in a deployment that bears the loss of two.
+Roster nineMembers()
+{
+    Roster roster;
+    roster.epoch = 9;
+    for (int i = 0; i < 9; ++i) {
+        std::string number = std::to_string(i);
+        roster.members.push_back({ "n" + number, 100U + static_cast<unsigned>(i), "10.0.0.1:700" + number,
+            std::string(1, static_cast<char>('a' + i % 3)) });
+    }
+    return roster;
+}
+
+Roster replaced(const Roster& before, std::string_view gone, const std::string& successor)
+{
+    Roster next = withoutMember(before, gone);
+    const RosterMember* old = before.find(gone);
+    next.members.push_back({ successor, 500, "10.0.0.1:7999", old->dataCentre });
+    return next;
+}
+
+std::vector<std::string> groupsOf(const Roster& roster, std::string_view node)
+{
+    std::vector<std::string> groups;
+    for (int i = 0; i < 300; ++i) {
+        std::string group = "program-" + std::to_string(i);
+        for (const RosterMember* replica : replicasOf(roster, group, tolerance)) {
+            if (replica->node == node)
+                groups.push_back(group);
+        }
+    }
+    return groups;
+}
+
+} // namespace
+
+class HoldingsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HoldingsTest);
+    CPPUNIT_TEST(memberGoesOnVotingOnGroupsThatItHeld);
+    CPPUNIT_TEST(newMemberVotesOnceEnoughReplicasWereFetched);
+    CPPUNIT_TEST(onlyGainedGroupsAreFetched);
+    CPPUNIT_TEST(groupThatWasLeftInBetweenIsFetchedAgain);
+    CPPUNIT_TEST(cutDataCentreStopsNoFill);
+    CPPUNIT_TEST(smallRosterFetchesEverythingAtEachChange);
+    CPPUNIT_TEST(platformIsASourceAfterTwoMembers);
+    CPPUNIT_TEST(sourceThatLacksRecordsDoesNotCount);
+    CPPUNIT_TEST_SUITE_END();
+
+    Roster nine = nineMembers();
+
+    Holdings holdingsOf(const std::string& node) const
+    {
+        Holdings holdings(node, tolerance);
+        holdings.restore(this->nine, this->nine.find(node)->disk);
+        return holdings;
+    }
+
+    // Every change of the roster stopped all votes of all members until each had fetched all records of the others.
+    void memberGoesOnVotingOnGroupsThatItHeld()
+    {
+        Holdings holdings = this->holdingsOf("n0");
+        Roster next = replaced(this->nine, "n4", "n9");
+        holdings.adopt(next, false);
+        CPPUNIT_ASSERT(!holdings.complete());
+        std::size_t gained = 0;
+        for (const std::string& group : groupsOf(next, "n0")) {
+            auto before = replicasOf(this->nine, group, tolerance);
+            bool was
+                = std::any_of(before.begin(), before.end(), [](const auto* member) { return member->node == "n0"; });
+            CPPUNIT_ASSERT_EQUAL(was, holdings.complete(group));
+            gained += was ? 0 : 1;
+        }
+        CPPUNIT_ASSERT(gained < 60);
+    }
+
+    void newMemberVotesOnceEnoughReplicasWereFetched()
+    {
+        Roster next = replaced(this->nine, "n4", "n9");
+        Holdings holdings("n9", tolerance);
+        holdings.restore({}, 500);
+        holdings.adopt(this->nine, false);
+        holdings.adopt(next, false);
+        std::string group = groupsOf(next, "n9").front();
+        auto former = replicasOf(this->nine, group, tolerance);
+        for (std::size_t i = 0; i < 3; ++i) { // of five: then each majority of three is among them
+            CPPUNIT_ASSERT(!holdings.complete(group));
+            holdings.fetched(former[i]->node, this->nine.epoch);
+        }
+        CPPUNIT_ASSERT(holdings.complete(group));
+        CPPUNIT_ASSERT(holdings.filledEpoch() < next.epoch);
+    }
+
+    void onlyGainedGroupsAreFetched()
+    {
+        Holdings holdings = this->holdingsOf("n0");
+        Roster next = replaced(this->nine, "n4", "n9");
+        holdings.adopt(next, false);
+        FillFilter filter = holdings.plan().filter;
+        for (const std::string& group : groupsOf(next, "n0"))
+            CPPUNIT_ASSERT_EQUAL(!holdings.complete(group), wantsGroup(filter, group, tolerance));
+        for (const std::string& group : groupsOf(this->nine, "n1"))
+            CPPUNIT_ASSERT(!wantsGroup(filter, group, tolerance) || !holdings.complete(group));
+    }
+
+    // A node that was no replica for a while has missed what was accepted meanwhile.
+    void groupThatWasLeftInBetweenIsFetchedAgain()
+    {
+        Holdings holdings = this->holdingsOf("n0");
+        Roster larger = this->nine;
+        ++larger.epoch;
+        larger.members.push_back({ "n9", 500, "10.0.0.1:7999", "a" });
+        holdings.adopt(larger, false);
+        Roster back = withoutMember(larger, "n9");
+        holdings.adopt(back, false);
+        std::size_t left = 0;
+        for (const std::string& group : groupsOf(back, "n0")) {
+            auto between = replicasOf(larger, group, tolerance);
+            bool stayed
+                = std::any_of(between.begin(), between.end(), [](const auto* member) { return member->node == "n0"; });
+            CPPUNIT_ASSERT_EQUAL(stayed, holdings.complete(group));
+            CPPUNIT_ASSERT_EQUAL(!stayed, wantsGroup(holdings.plan().filter, group, tolerance));
+            left += stayed ? 0 : 1;
+        }
+        CPPUNIT_ASSERT(left > 0);
+    }
+
+    // A data centre holds a bounded share of each group's replicas, so a fill needs no member of it.
+    void cutDataCentreStopsNoFill()
+    {
+        Roster next = replaced(this->nine, "n4", "n9"); // n4 is in data centre b
+        Holdings holdings = this->holdingsOf("n0");
+        holdings.adopt(next, false);
+        for (const char* source : { "n3", "n6", "n2", "n5", "n8" })
+            holdings.fetched(source, this->nine.epoch);
+        CPPUNIT_ASSERT(holdings.complete());
+        CPPUNIT_ASSERT_EQUAL(next.epoch, holdings.filledEpoch());
+    }
+
+    void smallRosterFetchesEverythingAtEachChange()
+    {
+        Roster three { 3, { { "n0", 1, "", "a" }, { "n1", 2, "", "b" }, { "n2", 3, "", "c" } } };
+        Holdings holdings("n0", { 1, 1 });
+        holdings.restore(three, 1);
+        holdings.adopt(withoutMember(three, "n2"), false);
+        CPPUNIT_ASSERT(holdings.complete()); // any two majorities meet without a fill
+        CPPUNIT_ASSERT(holdings.filledEpoch() == 3);
+        FillPlan plan = holdings.plan();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), plan.sources.size());
+        CPPUNIT_ASSERT(wantsGroup(plan.filter, "any", { 1, 1 }));
+        holdings.fetched("n2", 3);
+        CPPUNIT_ASSERT(holdings.filledEpoch() == 4);
+    }
+
+    void platformIsASourceAfterTwoMembers()
+    {
+        Roster two { 4, { { "n0", 1, "", "a" }, { "n1", 2, "", "b" } } };
+        Roster three = two;
+        ++three.epoch;
+        three.members.push_back({ "n2", 3, "", "c" });
+        Holdings holdings("n2", { 1, 1 });
+        holdings.restore({}, 3);
+        holdings.adopt(two, false);
+        holdings.adopt(three, false);
+        CPPUNIT_ASSERT(holdings.plan().fromPlatform);
+        holdings.fetched("n0", 4);
+        CPPUNIT_ASSERT(!holdings.complete("any")); // n1 and the platform may have granted without n0
+        holdings.fetchedFromPlatform();
+        CPPUNIT_ASSERT(holdings.complete("any") && holdings.complete());
+    }
+
+    void sourceThatLacksRecordsDoesNotCount()
+    {
+        Roster next = replaced(this->nine, "n4", "n9");
+        Holdings holdings = this->holdingsOf("n0");
+        holdings.adopt(next, false);
+        for (const char* source : { "n1", "n2", "n3", "n5", "n6", "n7" })
+            holdings.fetched(source, this->nine.epoch - 1);
+        CPPUNIT_ASSERT(!holdings.complete());
+        holdings.fetched("n8", this->nine.epoch - 1);
+        holdings.fetched("n4", this->nine.epoch - 1);
+        CPPUNIT_ASSERT(holdings.complete()); // all have told what they have
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HoldingsTest);
+
+} // namespace lovagecross
--- a/lovagecross/records/RecordMessages.cpp
+++ b/lovagecross/records/RecordMessages.cpp
@@ -58,6 +58,14 @@
     return roster;
 }
 
+FillRequest read(const proto::Fill& in)
+{
+    FillRequest request { in.after(), { in.node(), read(in.target()), {} } };
+    for (const proto::RecordRoster& roster : in.held())
+        request.filter.held.push_back(read(roster));
+    return request;
+}
+
 struct RequestWriter {
     proto::RecordRequest& out;
 
@@ -81,7 +89,15 @@
     {
         write(request.roster, this->out.mutable_adopt()->mutable_roster());
     }
-    void operator()(const FillRequest& request) const { this->out.mutable_fill()->set_after(request.after); }
+    void operator()(const FillRequest& request) const
+    {
+        proto::Fill& fill = *this->out.mutable_fill();
+        fill.set_after(request.after);
+        fill.set_node(request.filter.node);
+        write(request.filter.target, fill.mutable_target());
+        for (const Roster& roster : request.filter.held)
+            write(roster, fill.add_held());
+    }
     void operator()(const InspectRequest&) const { this->out.mutable_inspect(); }
 };
 
@@ -117,7 +133,7 @@
     case proto::RecordRequest::kAdopt:
         return AdoptRequest { read(in.adopt().roster()) };
     case proto::RecordRequest::kFill:
-        return FillRequest { in.fill().after() };
+        return read(in.fill());
     case proto::RecordRequest::kInspect:
         return InspectRequest {};
     default:
--- a/lovagecross/records/RecordMessages.h
+++ b/lovagecross/records/RecordMessages.h
@@ -5,6 +5,7 @@
 // Thread safety: plain values and free functions.
 
 #include "lovagecross/base/NameTable.h"
+#include "lovagecross/records/Holdings.h"
 #include "lovagecross/records/Roster.h"
 
 #include <cstdint>
@@ -64,9 +65,10 @@
     Roster roster;
 };
 
-// Asks for the records after a position in the receiver's order of arrival.
+// Asks for the records that the filter wants, after a position in the receiver's order of arrival.
 struct FillRequest {
     std::uint64_t after = 0;
+    FillFilter filter;
 };
 
 struct InspectRequest { };
@@ -102,7 +104,8 @@
     std::uint64_t next = 0; // Fill: the position to go on from
     bool last = false; // Fill: nothing is left after `next` for now
     std::uint64_t session = 0; // Fill: positions hold only within one session of the sender
-    std::uint64_t filledEpoch = 0; // Inspect: the newest epoch for which the sender has fetched what others held
+    std::uint64_t filledEpoch
+        = 0; // Inspect, Fill, Reserve: the newest epoch for which the sender has fetched what others held
 };
 
 std::string encodeRecordRequest(const RecordRequest& request);
--- a/lovagecross/records/RecordNode.cpp
+++ b/lovagecross/records/RecordNode.cpp
@@ -25,6 +25,7 @@
     , parts(nodeParts)
     , log(this->settings.dataFolder + "/records", this->settings.diskBytes / logShareOfDisk)
     , session(randomSession())
+    , holdings(this->settings.node, this->settings.tolerance)
     , watch(this->settings.memberGoneAfter)
     , platform(nodeParts.store, nodeParts.counters)
     , votes(nodeParts.counters.counter("records.votes"))
@@ -47,6 +48,7 @@
     this->newDisk = recovery.wasEmpty;
     std::int64_t now = this->parts.clock.unixMillis();
     std::size_t count = 0;
+    Roster known;
     {
         std::lock_guard lock(this->mutex);
         for (const std::string& bytes : recovery.entries) {
@@ -55,16 +57,14 @@
                 continue;
             ++count;
             if (auto* roster = std::get_if<Roster>(&*entry))
-                this->current = std::move(*roster);
+                known = std::move(*roster);
             else if (auto* turn = std::get_if<StoredTurn>(&*entry))
                 this->table.add(std::move(*turn));
             else
                 this->table.add(std::get<Reservation>(std::move(*entry)));
         }
         this->table.expire(now);
-        const RosterMember* self = this->current.find(this->settings.node);
-        this->complete = self != nullptr && self->disk == this->disk;
-        this->filledEpoch = this->complete ? this->current.epoch : 0;
+        this->holdings.restore(known, this->disk);
     }
     LogLine(LogLevel::Info, "records_loaded")
         .field("entries", count)
@@ -114,10 +114,11 @@
 // Under the lock. A newer epoch than the own one means that this node has missed a change.
 bool RecordNode::acceptsEpoch(std::uint64_t epoch, RecordResponse& response) const
 {
-    if (epoch == this->current.epoch && this->isMember())
+    const Roster& roster = this->holdings.roster();
+    if (epoch == roster.epoch && this->holdings.isMember())
         return true;
-    response.status = epoch < this->current.epoch ? RecordStatus::OldEpoch : RecordStatus::NotReady;
-    response.roster = this->current;
+    response.status = epoch < roster.epoch ? RecordStatus::OldEpoch : RecordStatus::NotReady;
+    response.roster = roster;
     return false;
 }
 
@@ -147,8 +148,8 @@
     this->chainsRead.add();
     response.turns = this->table.chain(request.id, response.reachedStart);
     response.status = response.turns.empty() ? RecordStatus::Absent : RecordStatus::Ok;
-    response.complete = this->complete && this->isMember();
-    response.roster = this->current;
+    response.complete = this->holdings.complete();
+    response.roster = this->holdings.roster();
     return response;
 }
 
@@ -160,7 +161,7 @@
         std::lock_guard lock(this->mutex);
         if (!this->acceptsEpoch(request.epoch, response))
             return response;
-        if (!this->complete)
+        if (!this->holdings.complete(reservation.program))
             return response; // NotReady
         const ProgramReservations& others = this->table.reservationsOf(reservation.program);
         for (const auto& [requestId, other] : others) {
@@ -179,7 +180,7 @@
         return response;
     response.status = stored ? RecordStatus::Ok : RecordStatus::NotStored;
     this->votes.add();
-    response.filledEpoch = this->filledEpoch;
+    response.filledEpoch = this->holdings.filledEpoch();
     return response;
 }
 
@@ -202,9 +203,9 @@
     RecordResponse response;
     bool adopted = this->adopt(request.roster, false);
     std::lock_guard lock(this->mutex);
-    response.roster = this->current;
+    response.roster = this->holdings.roster();
     response.status
-        = adopted || this->current.epoch >= request.roster.epoch ? RecordStatus::Ok : RecordStatus::NotStored;
+        = adopted || response.roster->epoch >= request.roster.epoch ? RecordStatus::Ok : RecordStatus::NotStored;
     return response;
 }
 
@@ -212,8 +213,15 @@
 {
     RecordResponse response;
     std::lock_guard lock(this->mutex);
+    std::map<std::string, bool, std::less<>> known; // whether a group is wanted
+    auto wanted = [&](std::string_view group) {
+        auto found = known.find(group);
+        if (found == known.end())
+            found = known.emplace(group, wantsGroup(request.filter, group, this->settings.tolerance)).first;
+        return found->second;
+    };
     for (StoredRecord& record :
-        this->table.recordsAfter(request.after, detail::fillPageBytes, response.next, response.last)) {
+        this->table.recordsAfter(request.after, detail::fillPageBytes, wanted, response.next, response.last)) {
         if (auto* turn = std::get_if<StoredTurn>(&record))
             response.turns.push_back(std::move(*turn));
         else
@@ -221,6 +229,7 @@
     }
     response.status = RecordStatus::Ok;
     response.session = this->session;
+    response.filledEpoch = this->holdings.filledEpoch();
     return response;
 }
 
@@ -229,31 +238,25 @@
     RecordResponse response;
     std::lock_guard lock(this->mutex);
     response.status = RecordStatus::Ok;
-    response.complete = this->complete && this->isMember();
-    response.filledEpoch = this->filledEpoch;
-    if (this->current.epoch > 0)
-        response.roster = this->current;
+    response.complete = this->holdings.complete();
+    response.filledEpoch = this->holdings.filledEpoch();
+    if (this->holdings.roster().epoch > 0)
+        response.roster = this->holdings.roster();
     return response;
 }
 
 // --- State
 
-bool RecordNode::isMember() const
-{
-    const RosterMember* self = this->current.find(this->settings.node);
-    return self != nullptr && self->disk == this->disk;
-}
-
 bool RecordNode::ready() const
 {
     std::lock_guard lock(this->mutex);
-    return this->complete && this->isMember();
+    return this->holdings.complete();
 }
 
 Roster RecordNode::roster() const
 {
     std::lock_guard lock(this->mutex);
-    return this->current;
+    return this->holdings.roster();
 }
 
 void RecordNode::retire()
@@ -285,19 +288,11 @@
     bool nowComplete = false;
     {
         std::lock_guard lock(this->mutex);
-        if (next.epoch <= this->current.epoch)
+        if (next.epoch <= this->holdings.roster().epoch)
             return false;
-        bool gains = !joinedNow && mayGainGroups(this->current, next, this->settings.node, this->settings.tolerance);
-        this->planFill(next);
-        if (gains)
-            this->complete = false;
-        if (joinedNow)
-            this->complete = true;
-        if (joinedNow)
-            this->filledEpoch = next.epoch;
-        this->current = next;
-        member = this->isMember();
-        nowComplete = this->complete;
+        this->holdings.adopt(next, joinedNow);
+        member = this->holdings.isMember();
+        nowComplete = this->holdings.complete();
     }
     LogLine(LogLevel::Info, "roster_adopted")
         .field("epoch", next.epoch)
@@ -308,26 +303,4 @@
     return true;
 }
 
-// Under the lock: what to fetch when `next` follows the present roster. Whatever a majority of the former replicas has
-// accepted must lie with the sources that are needed, this node's own disk included.
-void RecordNode::planFill(const Roster& next)
-{
-    const Roster& before = this->current;
-    const Tolerance& tolerance = this->settings.tolerance;
-    this->sources.clear();
-    for (const RosterMember& source : (before.members.empty() ? next : before).members) {
-        const RosterMember* after = next.find(source.node);
-        bool sameDisk = after == nullptr || after->disk == source.disk; // a new disk has nothing of before
-        if (sameDisk && source.node != this->settings.node)
-            this->sources.push_back(source);
-    }
-    this->platformIsSource = platformVotes(before, tolerance);
-    std::size_t voters = before.members.size() + (this->platformIsSource ? 1 : 0);
-    std::size_t replicas = std::min<std::size_t>(before.members.size(), 2 * tolerance.machines + 1);
-    std::size_t mayMiss = replicas > 0 ? majorityOf(replicas) - 1 : 0;
-    this->sourcesNeeded = voters > mayMiss ? voters - mayMiss : 0;
-    if (this->isMember() && this->complete && this->sourcesNeeded > 0)
-        --this->sourcesNeeded; // what this node holds itself
-}
-
 } // namespace lovagecross
--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -20,6 +20,7 @@
 #include "lovagecross/base/Clock.h"
 #include "lovagecross/ports/ObjectStore.h"
 #include "lovagecross/ports/Peer.h"
+#include "lovagecross/records/Holdings.h"
 #include "lovagecross/records/MemberWatch.h"
 #include "lovagecross/records/PlatformRecords.h"
 #include "lovagecross/records/RecordLog.h"
@@ -105,17 +106,16 @@
     void maintain();
     StoreStatus refreshRoster();
     bool adopt(const Roster& next, bool joinedNow);
-    void planFill(const Roster& next);
-    bool isMember() const;
-    bool holdsGroup(std::string_view group) const;
+    bool holdsGroup(const Roster& target, std::string_view group) const;
     void join();
     bool writeRoster(const Roster& next, std::uint64_t version);
     std::vector<std::string> unreachableMembers(const Roster& current);
     void fill();
-    bool restIsLost(bool allMembersFetched, std::size_t fetched, std::size_t needed);
-    bool fetchFrom(const RosterMember& source);
+    void finishFill(const Roster& roster, const FillPlan& plan, std::size_t fetched, bool allMembersFetched);
+    bool restIsLost(bool enough, bool allMembersFetched);
+    bool fetchFrom(const RosterMember& source, const FillFilter& filter, std::uint64_t& sourceFilledEpoch);
     bool fetchFromPlatform();
-    void takeFetched(const RecordResponse& page);
+    void takeFetched(const RecordResponse& page, const Roster& target);
     void careForOthers(TimePoint now, bool filled);
     void removeGoneMember(const Roster& roster);
     void drainPlatform(const Roster& roster);
@@ -133,16 +133,12 @@
 
     mutable std::mutex mutex; // guards what follows
     RecordTable table;
-    Roster current;
-    bool complete = false; // holds every record that a replica of its groups should hold
-    std::uint64_t filledEpoch = 0;
-    std::vector<RosterMember> sources; // members of the rosters that the records to fetch may lie with
-    std::size_t sourcesNeeded = 0;
-    bool platformIsSource = false; // reservations may lie at the platform only
+    Holdings holdings;
     bool retireRequested = false;
     bool isRetired = false;
 
     struct Cursor {
+        FillFilter filter; // what was fetched up to the position
         std::uint64_t session = 0;
         std::uint64_t position = 0;
     };
@@ -152,6 +148,8 @@
     TimePoint nextExpiry;
     TimePoint nextMemberCheck;
     TimePoint nextPlatformDrain;
+    TimePoint nextFill;
+    std::uint64_t fillEpoch = 0; // that `nextFill` is for
 
     // Used by the maintenance thread only.
     MemberWatch watch;
--- a/lovagecross/records/RecordNodeUpkeep.cpp
+++ b/lovagecross/records/RecordNodeUpkeep.cpp
@@ -19,6 +19,7 @@
 constexpr Duration platformDrainInterval = std::chrono::seconds(20); // also the time that readers have to look again
 constexpr Duration inspectTimeout = milliseconds(500);
 constexpr Duration fillTimeout = milliseconds(1500);
+constexpr Duration fillRetryInterval = std::chrono::seconds(1);
 constexpr Duration storeTimeout = milliseconds(500);
 constexpr Duration lostSourcesAfter = std::chrono::seconds(3); // beside the time after which silent members are removed
 constexpr Duration stopPoll = milliseconds(20);
@@ -45,16 +46,16 @@
     bool filled = false;
     {
         std::lock_guard lock(this->mutex);
-        member = this->isMember();
+        member = this->holdings.isMember();
         leaving = this->retireRequested && !this->isRetired;
-        filled = this->filledEpoch >= this->current.epoch;
+        filled = this->holdings.filledEpoch() >= this->holdings.roster().epoch;
     }
     if (now >= this->nextRefresh || !member) {
         this->nextRefresh = now + refreshInterval;
         this->refreshRoster();
         std::lock_guard lock(this->mutex);
-        member = this->isMember();
-        filled = this->filledEpoch >= this->current.epoch;
+        member = this->holdings.isMember();
+        filled = this->holdings.filledEpoch() >= this->holdings.roster().epoch;
     }
     if (leaving)
         this->leave();
@@ -144,7 +145,8 @@
     {
         std::lock_guard lock(this->mutex);
         // Few members stay in the roster while they restart: a majority of them goes on without this one.
-        if (!this->isMember() || this->current.members.size() <= 2U * this->settings.tolerance.machines + 1)
+        if (!this->holdings.isMember()
+            || this->holdings.roster().members.size() <= 2U * this->settings.tolerance.machines + 1)
             return;
     }
     this->retire();
@@ -189,15 +191,18 @@
     RosterMember self { this->settings.node, this->disk, this->settings.address, this->settings.dataCentre };
     bool founding = status == StoreStatus::NotFound || (this->settings.firstStart && this->newDisk);
     std::vector<std::string> lost;
-    if (!founding) {
+    if (!founding)
         lost = this->unreachableMembers(before);
+    Roster next = withMember(before, self, lost);
+    if (!founding) {
+        FillFilter filter = makeFilter(self.node, next, {}, this->settings.tolerance);
+        std::uint64_t ignored = 0;
         for (const RosterMember& member : before.members) {
             bool reachable = std::find(lost.begin(), lost.end(), member.node) == lost.end();
-            if (member.node != this->settings.node && reachable)
-                this->fetchFrom(member);
+            if (member.node != self.node && reachable)
+                this->fetchFrom(member, filter, ignored);
         }
     }
-    Roster next = withMember(before, self, lost);
     if (!this->writeRoster(next, this->rosterVersion))
         return;
     LogLine(LogLevel::Info, "roster_joined")
@@ -243,52 +248,68 @@
 void RecordNode::fill()
 {
     Roster roster;
-    std::vector<RosterMember> from;
-    std::size_t needed = 0;
-    bool fromPlatform = false;
+    FillPlan plan;
     {
         std::lock_guard lock(this->mutex);
-        roster = this->current;
-        from = this->sources;
-        needed = this->sourcesNeeded;
-        fromPlatform = this->platformIsSource;
+        roster = this->holdings.roster();
+        plan = this->holdings.plan();
     }
+    TimePoint now = this->parts.clock.now();
+    if (this->fillEpoch == roster.epoch && now < this->nextFill)
+        return;
+    this->fillEpoch = roster.epoch;
+    this->nextFill = now + fillRetryInterval;
     std::size_t fetched = 0;
     bool allMembersFetched = true;
-    for (const RosterMember& source : from) {
+    for (const RosterMember& source : plan.sources) {
         bool answered = false;
         RecordResponse adopted = this->ask(source.address, AdoptRequest { roster }, inspectTimeout, answered);
-        if (answered && adopted.status == RecordStatus::Ok && this->fetchFrom(source))
-            ++fetched;
-        else
+        std::uint64_t sourceFilledEpoch = 0;
+        if (!answered || adopted.status != RecordStatus::Ok
+            || !this->fetchFrom(source, plan.filter, sourceFilledEpoch)) {
             allMembersFetched = allMembersFetched && roster.find(source.node) == nullptr;
-    }
-    if (fromPlatform && this->fetchFromPlatform())
+            continue;
+        }
         ++fetched;
-    bool enough = fetched >= needed || this->restIsLost(allMembersFetched, fetched, needed);
+        std::lock_guard lock(this->mutex);
+        if (this->holdings.roster().epoch != roster.epoch)
+            return;
+        this->holdings.fetched(source.node, sourceFilledEpoch);
+    }
+    if (plan.fromPlatform && this->fetchFromPlatform()) {
+        std::lock_guard lock(this->mutex);
+        if (this->holdings.roster().epoch != roster.epoch)
+            return;
+        this->holdings.fetchedFromPlatform();
+    }
+    this->finishFill(roster, plan, fetched, allMembersFetched);
+}
+
+void RecordNode::finishFill(const Roster& roster, const FillPlan& plan, std::size_t fetched, bool allMembersFetched)
+{
+    bool enough = false;
     {
         std::lock_guard lock(this->mutex);
-        if (this->current.epoch != roster.epoch)
+        if (this->holdings.roster().epoch != roster.epoch)
             return;
-        if (enough) {
-            this->complete = true;
-            this->filledEpoch = roster.epoch;
-        }
+        enough = this->holdings.filledEpoch() >= roster.epoch;
+        if (this->restIsLost(enough, allMembersFetched))
+            this->holdings.giveUpOnTheRest();
     }
     LogLine(enough ? LogLevel::Info : LogLevel::Warning, "records_fetched")
         .field("epoch", roster.epoch)
         .field("sources", fetched)
-        .field("needed", needed)
-        .field("asked", from.size())
+        .field("asked", plan.sources.size())
+        .field("enough", enough)
         .write();
 }
 
 // Whether the sources that are missing are gone for good: more disks were lost at once than the deployment tolerates.
 // Serving on with what is left is then better than never again.
-bool RecordNode::restIsLost(bool allMembersFetched, std::size_t fetched, std::size_t needed)
+bool RecordNode::restIsLost(bool enough, bool allMembersFetched)
 {
     TimePoint now = this->parts.clock.now();
-    if (!allMembersFetched || fetched >= needed) {
+    if (enough || !allMembersFetched) {
         this->shortOfSourcesSince.reset();
         return false;
     }
@@ -296,27 +317,32 @@
         this->shortOfSourcesSince = now;
     if (now - *this->shortOfSourcesSince < lostSourcesAfter)
         return false;
-    LogLine(LogLevel::Error, "records_may_be_lost").field("sources", fetched).field("needed", needed).write();
+    LogLine(LogLevel::Error, "records_may_be_lost").field("epoch", this->holdings.roster().epoch).write();
     this->shortOfSourcesSince.reset();
     return true;
 }
 
-bool RecordNode::fetchFrom(const RosterMember& source)
+// Fetches what the filter wants, from where the last fetch with the same filter ended.
+bool RecordNode::fetchFrom(const RosterMember& source, const FillFilter& filter, std::uint64_t& sourceFilledEpoch)
 {
     Cursor& cursor = this->cursors[source.address];
+    if (!(cursor.filter == filter))
+        cursor = { filter, 0, 0 };
     for (;;) {
         bool answered = false;
-        RecordResponse page = this->ask(source.address, FillRequest { cursor.position }, fillTimeout, answered);
+        RecordResponse page = this->ask(source.address, FillRequest { cursor.position, filter }, fillTimeout, answered);
         if (!answered || page.status != RecordStatus::Ok)
             return false;
         if (page.session != cursor.session) {
             bool restart = cursor.position != 0;
-            cursor = { page.session, 0 };
+            cursor.session = page.session;
+            cursor.position = 0;
             if (restart)
                 continue;
         }
-        this->takeFetched(page);
+        this->takeFetched(page, filter.target);
         cursor.position = page.next;
+        sourceFilledEpoch = page.filledEpoch;
         if (page.last)
             return true;
         std::lock_guard lock(this->wakeMutex);
@@ -333,21 +359,21 @@
         return false;
     RecordResponse page;
     page.reservations = std::move(*reservations);
-    this->takeFetched(page);
+    this->takeFetched(page, this->roster());
     return true;
 }
 
-void RecordNode::takeFetched(const RecordResponse& page)
+void RecordNode::takeFetched(const RecordResponse& page, const Roster& target)
 {
     std::vector<std::string> added;
     {
         std::lock_guard lock(this->mutex);
         for (const StoredTurn& turn : page.turns) {
-            if (this->holdsGroup(turn.group) && this->table.add(turn))
+            if (this->holdsGroup(target, turn.group) && this->table.add(turn))
                 added.push_back(encodeLoggedEntry(turn));
         }
         for (const Reservation& reservation : page.reservations) {
-            if (this->holdsGroup(reservation.program) && this->table.add(reservation))
+            if (this->holdsGroup(target, reservation.program) && this->table.add(reservation))
                 added.push_back(encodeLoggedEntry(reservation));
         }
     }
@@ -359,12 +385,11 @@
         LogLine(LogLevel::Error, "records_fetched").field("problem", "the disk took nothing").write();
 }
 
-// Under the lock. Before it is a member, a node doesn't know which groups it will hold.
-bool RecordNode::holdsGroup(std::string_view group) const
+bool RecordNode::holdsGroup(const Roster& target, std::string_view group) const
 {
-    if (!this->isMember())
+    if (target.members.empty())
         return true;
-    auto replicas = replicasOf(this->current, group, this->settings.tolerance);
+    auto replicas = replicasOf(target, group, this->settings.tolerance);
     return std::any_of(replicas.begin(), replicas.end(),
         [this](const RosterMember* member) { return member->node == this->settings.node; });
 }
@@ -417,12 +442,13 @@
 {
     std::vector<std::string> entries;
     std::lock_guard lock(this->mutex);
-    if (this->current.epoch > 0)
-        entries.push_back(encodeLoggedEntry(this->current));
+    if (this->holdings.roster().epoch > 0)
+        entries.push_back(encodeLoggedEntry(this->holdings.roster()));
     std::uint64_t position = 0;
     bool last = false;
+    auto all = [](std::string_view) { return true; };
     while (!last) {
-        for (StoredRecord& record : this->table.recordsAfter(position, detail::fillPageBytes, position, last)) {
+        for (StoredRecord& record : this->table.recordsAfter(position, detail::fillPageBytes, all, position, last)) {
             if (auto* turn = std::get_if<StoredTurn>(&record))
                 entries.push_back(encodeLoggedEntry(*turn));
             else
--- a/lovagecross/records/RecordTable.cpp
+++ b/lovagecross/records/RecordTable.cpp
@@ -96,24 +96,27 @@
     return chain;
 }
 
-std::vector<StoredRecord> RecordTable::recordsAfter(
-    std::uint64_t after, std::size_t maxBytes, std::uint64_t& next, bool& last) const
+std::vector<StoredRecord> RecordTable::recordsAfter(std::uint64_t after, std::size_t maxBytes,
+    const std::function<bool(std::string_view)>& wantsGroup, std::uint64_t& next, bool& last) const
 {
     std::vector<StoredRecord> records;
     std::size_t size = 0;
+    std::size_t looked = 0;
     next = after;
     auto it = this->order.upper_bound(after);
-    for (; it != this->order.end() && size < maxBytes; ++it) {
+    for (; it != this->order.end() && size < maxBytes && looked < maxRecordsLookedAt; ++it, ++looked) {
         next = it->first;
         const Key& key = it->second;
         if (key.isTurn) {
             auto found = this->turns.find(key.first);
-            if (found == this->turns.end())
+            if (found == this->turns.end() || !wantsGroup(found->second.turn.group))
                 continue;
             records.emplace_back(found->second.turn);
             size += sizeOf(found->second.turn);
             continue;
         }
+        if (!wantsGroup(key.first))
+            continue;
         const ProgramReservations& reservations = this->reservationsOf(key.first);
         auto found = reservations.find(key.second);
         if (found == reservations.end())
--- a/lovagecross/records/RecordTable.h
+++ b/lovagecross/records/RecordTable.h
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -45,10 +46,13 @@
     // `reachedStart` is set when the last one starts its conversation.
     std::vector<StoredTurn> chain(std::string_view id, bool& reachedStart) const;
 
-    // Records in the order of their arrival, after position `after`, up to about `maxBytes`. `next` is the position
-    // to go on from and `last` whether nothing is left.
-    std::vector<StoredRecord> recordsAfter(
-        std::uint64_t after, std::size_t maxBytes, std::uint64_t& next, bool& last) const;
+    // Looking at more at once would hold up the votes that wait for the lock.
+    static constexpr std::size_t maxRecordsLookedAt = 1000;
+
+    // Records of the groups that `wantsGroup` accepts, in the order of their arrival, after position `after`, up to
+    // about `maxBytes`. `next` is the position to go on from and `last` whether nothing is left.
+    std::vector<StoredRecord> recordsAfter(std::uint64_t after, std::size_t maxBytes,
+        const std::function<bool(std::string_view)>& wantsGroup, std::uint64_t& next, bool& last) const;
 
     void expire(std::int64_t nowUnixMillis);
 
--- a/lovagecross/records/RecordTableTest.cpp
+++ b/lovagecross/records/RecordTableTest.cpp
@@ -95,13 +95,14 @@
             table.add(turn("t" + std::to_string(i), ""));
         table.add(reservation("r1", 100));
         table.add(reservation("r1", 30, true));
+        auto all = [](std::string_view) { return true; };
         std::uint64_t position = 0;
         bool last = false;
         std::size_t turns = 0;
         std::size_t settled = 0;
         int pages = 0;
         while (!last) {
-            for (const StoredRecord& record : table.recordsAfter(position, 100, position, last)) {
+            for (const StoredRecord& record : table.recordsAfter(position, 100, all, position, last)) {
                 if (std::holds_alternative<StoredTurn>(record))
                     ++turns;
                 else
@@ -112,7 +113,10 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(100), turns);
         CPPUNIT_ASSERT(settled >= 1 && pages > 5);
         table.add(turn("new", ""));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.recordsAfter(position, 100, position, last).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.recordsAfter(position, 100, all, position, last).size());
+        auto none = [](std::string_view) { return false; };
+        position = 0;
+        CPPUNIT_ASSERT(table.recordsAfter(position, 100, none, position, last).empty() && last);
     }
 };
 
