--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -133,26 +133,8 @@
         && request.path.size() <= maxPathBytes;
 }
 
-template <typename Message> void write(const std::vector<ServerRunning>& running, Message* out)
-{
-    for (const ServerRunning& server : running) {
-        proto::ServerRunning* entry = out->add_running();
-        entry->set_id(server.id);
-        entry->set_running(server.running);
-    }
-}
-
-template <typename Message> std::vector<ServerRunning> readRunning(const Message& in)
-{
-    std::vector<ServerRunning> running;
-    for (const proto::ServerRunning& entry : in.running())
-        running.push_back({ entry.id(), entry.running() });
-    return running;
-}
-
 void write(const DirectoryUpdate& update, proto::DirectoryUpdate* out)
 {
-    write(update.running, out);
     out->set_registry_known(update.registryKnown);
     out->set_registry_age_millis(update.registryAgeMillis);
     out->set_registry_revision(update.registryRevision);
@@ -178,7 +160,6 @@
     update.registryRevision = in.registry_revision();
     update.hasServers = in.has_servers();
     update.configurationDocument = in.configuration_document();
-    update.running = readRunning(in);
     for (const proto::DirectoryServer& entry : in.servers()) {
         if (!isAddressText(entry.address()))
             return false;
@@ -229,12 +210,8 @@
     void operator()(const RecordCall& call) const { this->out.mutable_record_call()->set_content(call.content); }
     void operator()(const DirectoryFetch& fetch) const
     {
-        proto::DirectoryFetch* message = this->out.mutable_directory_fetch();
-        message->set_configuration_version(fetch.configurationVersion);
-        message->set_servers_digest(fetch.serversDigest);
-        message->set_node(fetch.node);
-        message->set_for_data_centre(fetch.forDataCentre);
-        write(fetch.running, message);
+        this->out.mutable_directory_fetch()->set_configuration_version(fetch.configurationVersion);
+        this->out.mutable_directory_fetch()->set_servers_digest(fetch.serversDigest);
     }
     void operator()(const ForwardCancel&) const { this->out.mutable_cancel(); }
     void operator()(const ForwardChunk& chunk) const
@@ -305,8 +282,8 @@
         request = RecordCall { in.record_call().content() };
         return true;
     case proto::Envelope::kDirectoryFetch:
-        request = DirectoryFetch { in.directory_fetch().configuration_version(), in.directory_fetch().servers_digest(),
-            in.directory_fetch().node(), in.directory_fetch().for_data_centre(), readRunning(in.directory_fetch()) };
+        request
+            = DirectoryFetch { in.directory_fetch().configuration_version(), in.directory_fetch().servers_digest() };
         return true;
     default:
         return false;
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -11,7 +11,6 @@
 #include "lovagecross/records/RecordNode.h"
 #include "lovagecross/sharing/DirectoryFollower.h"
 #include "lovagecross/sharing/DirectoryPublisher.h"
-#include "lovagecross/sharing/LoadTable.h"
 #include "platform/Feeds.h"
 #include "platform/HeaderCodec.h"
 #include "platform/ObjectApi.h"
@@ -20,7 +19,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
-#include <map>
+#include <iostream>
 #include <memory>
 #include <optional>
 #include <set>
@@ -38,8 +37,6 @@
 constexpr Duration lastWords = milliseconds(500); // of the grace, to close down after the last call
 constexpr Duration oldestOwnRead = milliseconds(900); // of the registry, before another record node is asked for it
 constexpr Duration ownReadCheckInterval = milliseconds(300);
-constexpr Duration loadInterval = milliseconds(300); // between exchanges of running calls between data centres
-constexpr Duration loadTimeout = milliseconds(150);
 constexpr Duration housekeepingInterval = std::chrono::seconds(1);
 constexpr int statusListenerThreads = 4;
 constexpr std::size_t connectionsPerMegabyte = 6;
@@ -120,43 +117,19 @@
     HttpListener listener;
 };
 
-// What both kinds of node have.
-struct NodeBase {
-    explicit NodeBase(const NodeSettings& given)
-        : settings(given)
-        , api({ .address = given.platformAddress }, this->clock, this->counters)
-        , peers(peerSettings(given), this->counters)
-        , directory(this->clock)
-        , recordParts { this->clock, this->api, this->peers, this->counters }
-    {
-    }
-
-    const NodeSettings& settings;
-    SystemClock clock;
-    Counters counters;
-    platform::ObjectApi api;
-    ZmqPeers peers;
-    Directory directory;
-    LoadTable loads;
-    RecordNodeParts recordParts;
-};
-
 // Answers the messages of other nodes.
 class MessageHandler final : public PeerHandler {
 public:
-    MessageHandler(NodeBase& nodeBase, std::function<RecordResponse(const RecordRequest&)> answer)
-        : base(nodeBase)
+    MessageHandler(const Directory& ownDirectory, std::function<RecordResponse(const RecordRequest&)> answer)
+        : directory(ownDirectory)
         , respond(std::move(answer))
     {
     }
 
     PeerAnswer handlePeerRequest(const PeerRequest& request, const ChunkSink&) override
     {
-        if (const auto* fetch = std::get_if<DirectoryFetch>(&request)) {
-            DirectoryUpdate update = answerDirectoryFetch(this->base.directory, *fetch);
-            answerLoads(this->base.loads, *fetch, update, this->base.clock.now());
-            return update;
-        }
+        if (const auto* fetch = std::get_if<DirectoryFetch>(&request))
+            return answerDirectoryFetch(this->directory, *fetch);
         const auto* call = std::get_if<RecordCall>(&request);
         auto message = call != nullptr ? decodeRecordRequest(call->content) : std::nullopt;
         if (!message)
@@ -165,10 +138,30 @@
     }
 
 private:
-    NodeBase& base;
+    const Directory& directory;
     std::function<RecordResponse(const RecordRequest&)> respond;
 };
 
+// What both kinds of node have.
+struct NodeBase {
+    explicit NodeBase(const NodeSettings& given)
+        : settings(given)
+        , api({ .address = given.platformAddress }, this->clock, this->counters)
+        , peers(peerSettings(given), this->counters)
+        , directory(this->clock)
+        , recordParts { this->clock, this->api, this->peers, this->counters }
+    {
+    }
+
+    const NodeSettings& settings;
+    SystemClock clock;
+    Counters counters;
+    platform::ObjectApi api;
+    ZmqPeers peers;
+    Directory directory;
+    RecordNodeParts recordParts;
+};
+
 class EntryNode {
 public:
     explicit EntryNode(const NodeSettings& settings)
@@ -179,10 +172,9 @@
         , parts { this->base.clock, this->base.directory, this->book, this->pool, this->codec, this->records,
             this->records, GatewayCounters(this->base.counters) }
         , gateway({ settings.callerAddress, maxConnections(settings) }, this->parts)
-        , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock,
-              this->loadExchange())
+        , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock)
         , feed(this->base.api, this->base.directory, this->base.clock, [this] { return !this->follower.upToDate(); })
-        , messages(this->base, [this](const RecordRequest& request) { return this->answer(request); })
+        , messages(this->base.directory, [this](const RecordRequest& request) { return this->answer(request); })
     {
     }
 
@@ -229,29 +221,6 @@
         return client;
     }
 
-    LoadExchange loadExchange()
-    {
-        LoadExchange exchange;
-        exchange.node = this->base.settings.node;
-        exchange.own = [this] {
-            std::vector<ServerRunning> own;
-            for (const auto& [id, running] : this->book.running())
-                own.push_back({ id, running });
-            return own;
-        };
-        exchange.take = [this](const std::vector<ServerRunning>& total, const std::vector<ServerRunning>& ownThen) {
-            std::map<std::string, std::uint32_t> others;
-            for (const ServerRunning& server : total)
-                others[server.id] = server.running;
-            for (const ServerRunning& server : ownThen) {
-                std::uint32_t& count = others[server.id];
-                count -= std::min(count, server.running);
-            }
-            this->book.takeOthers(std::move(others));
-        };
-        return exchange;
-    }
-
     static int maxConnections(const NodeSettings& settings)
     {
         return static_cast<int>(
@@ -337,7 +306,7 @@
         , feed(this->base.api, this->base.directory, this->base.clock,
               [this] { return this->readsPlatform() || !this->follower.upToDate(); })
         , retirements(this->base.api, this->records, settings.node)
-        , messages(this->base, [this](const RecordRequest& request) { return this->records.handle(request); })
+        , messages(this->base.directory, [this](const RecordRequest& request) { return this->records.handle(request); })
     {
     }
 
@@ -350,7 +319,6 @@
         this->records.start();
         this->feed.start();
         this->steps.add([this] { return this->follow(); });
-        this->steps.add([this] { return this->shareLoads(); });
         this->retirements.start();
         if (!this->base.settings.metricsAddress.empty())
             this->metrics = std::make_unique<StatusListener>(
@@ -401,34 +369,6 @@
         return this->follower.step(others);
     }
 
-    // Tells the readers of the other data centres the calls of this data centre, and learns theirs.
-    Duration shareLoads()
-    {
-        TimePoint now = this->base.clock.now();
-        std::vector<ServerRunning> own = this->base.loads.ofDataCentre(now);
-        if (!this->readsPlatform() || own.empty())
-            return loadInterval;
-        std::map<std::string, std::string> others; // the first record node of each other data centre
-        Roster roster = this->records.roster();
-        for (const RosterMember& member : roster.members) {
-            if (member.dataCentre != this->base.settings.dataCentre)
-                others.emplace(member.dataCentre, member.address);
-        }
-        std::vector<std::string> addresses;
-        for (const auto& [dataCentre, address] : others)
-            addresses.push_back(address);
-        auto view = this->base.directory.view();
-        DirectoryFetch fetch { view->configuration ? view->configuration->version : 0, view->serversDigest,
-            this->base.settings.node, true, std::move(own) };
-        auto results = this->base.peers.requestAll(addresses, fetch, loadTimeout, [](const auto&) { return false; });
-        for (std::size_t i = 0; i < results.size(); ++i) {
-            const auto* update = std::get_if<DirectoryUpdate>(&results[i].answer);
-            if (results[i].status == PeerStatus::Ok && update != nullptr)
-                this->base.loads.note(addresses[i], true, update->running, this->base.clock.now());
-        }
-        return loadInterval;
-    }
-
     NodeBase base;
     RecordNode records;
     DirectoryFollower follower;
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -231,8 +231,7 @@
         else if (step != Step::Done)
             callEnd = CallEnd::Failed;
     }
-    TimePoint endedAt = this->parts.clock.now();
-    this->parts.book.finished(server, callEnd, answeredAt - sentAt, endedAt - sentAt, this->call.prompt);
+    this->parts.book.finished(server, callEnd, answeredAt - sentAt, this->call.prompt);
     if (step != Step::Done)
         LogLine(LogLevel::Info, "attempt")
             .field("request", this->call.requestId)
--- a/lovagecross/gateway/ServerBook.cpp
+++ b/lovagecross/gateway/ServerBook.cpp
@@ -73,8 +73,7 @@
     return ChosenServer { server, choice.costMillis, choice.usable };
 }
 
-void ServerBook::finished(
-    const ServerEntry& server, CallEnd end, Duration taken, Duration held, const std::vector<PromptPart>& prompt)
+void ServerBook::finished(const ServerEntry& server, CallEnd end, Duration taken, const std::vector<PromptPart>& prompt)
 {
     std::lock_guard lock(this->mutex);
     TimePoint now = this->clock.now();
@@ -85,7 +84,7 @@
     switch (end) {
     case CallEnd::Answered:
         record.breaker.succeeded(now);
-        this->addSample(record, service, taken, held, now);
+        this->addSample(record, service, taken, now);
         this->rememberPrompt(record, prompt, now);
         break;
     case CallEnd::Refused:
@@ -106,24 +105,6 @@
     return found == this->records.end() ? 0 : found->second.running;
 }
 
-std::map<std::string, std::uint32_t> ServerBook::running() const
-{
-    std::map<std::string, std::uint32_t> counts;
-    std::lock_guard lock(this->mutex);
-    for (const auto& [id, record] : this->records) {
-        if (record.running > 0)
-            counts[id] = record.running;
-    }
-    return counts;
-}
-
-void ServerBook::takeOthers(std::map<std::string, std::uint32_t> othersRunning)
-{
-    std::lock_guard lock(this->mutex);
-    this->others = std::move(othersRunning);
-    this->othersAt = this->clock.now();
-}
-
 void ServerBook::retain(const std::set<std::string>& serverIds)
 {
     std::lock_guard lock(this->mutex);
@@ -151,11 +132,6 @@
     load.dataCentre = server.dataCentre;
     load.slots = server.slots;
     load.running = record.running;
-    if (now - this->othersAt <= othersMemory) {
-        auto found = this->others.find(server.id);
-        load.running += found == this->others.end() ? 0 : found->second;
-    }
-    load.meanHeldMillis = service.meanHeldMillis;
     load.cold = server.coldFor > Duration(0);
     load.meanCallMillis = service.meanMillis;
     load.usable = now >= record.fullUntil && record.breaker.allows(now, record.running, server.slots);
@@ -173,16 +149,14 @@
     return load;
 }
 
-void ServerBook::addSample(Record& record, ServiceRecord& service, Duration taken, Duration held, TimePoint now) const
+void ServerBook::addSample(Record& record, ServiceRecord& service, Duration taken, TimePoint now) const
 {
-    auto blend = [](double mean, Duration sample, double weight) {
-        double millis = std::chrono::duration<double, std::milli>(sample).count();
-        return mean <= 0 ? millis : mean * (1 - weight) + millis * weight;
-    };
-    record.meanMillis = blend(record.meanMillis, taken, sampleWeight);
+    double millis = std::chrono::duration<double, std::milli>(taken).count();
+    auto blend
+        = [millis](double mean, double weight) { return mean <= 0 ? millis : mean * (1 - weight) + millis * weight; };
+    record.meanMillis = blend(record.meanMillis, sampleWeight);
     record.sampledAt = now;
-    service.meanMillis = blend(service.meanMillis, taken, serviceSampleWeight);
-    service.meanHeldMillis = blend(service.meanHeldMillis, held, serviceSampleWeight);
+    service.meanMillis = blend(service.meanMillis, serviceSampleWeight);
 }
 
 void ServerBook::rememberPrompt(Record& record, const std::vector<PromptPart>& prompt, TimePoint now) const
--- a/lovagecross/gateway/ServerBook.h
+++ b/lovagecross/gateway/ServerBook.h
@@ -58,21 +58,11 @@
     std::optional<ChosenServer> choose(const std::vector<ServerEntry>& servers, const ChoiceRequest& request,
         const std::vector<PromptPart>& prompt, const std::set<std::string>& tried);
 
-    // Ends a running call. `taken` is the time to the first byte of content and `held` the time to the last, for
-    // Answered.
-    void finished(
-        const ServerEntry& server, CallEnd end, Duration taken, Duration held, const std::vector<PromptPart>& prompt);
+    // Ends a running call. `taken` is the time to the first byte of content, for Answered.
+    void finished(const ServerEntry& server, CallEnd end, Duration taken, const std::vector<PromptPart>& prompt);
 
     std::uint32_t runningAt(const std::string& serverId) const;
 
-    // Calls of this node at each server that has some.
-    std::map<std::string, std::uint32_t> running() const;
-
-    // Calls of other nodes at each server, as of now. They count for `othersMemory`.
-    void takeOthers(std::map<std::string, std::uint32_t> othersRunning);
-
-    static constexpr Duration othersMemory = std::chrono::milliseconds(1500);
-
     // Forgets servers that are not listed any more.
     void retain(const std::set<std::string>& serverIds);
 
@@ -93,14 +83,13 @@
 
     // Of all servers of a service.
     struct ServiceRecord {
-        double meanMillis = 0; // to the first byte
-        double meanHeldMillis = 0; // to the last byte
+        double meanMillis = 0;
     };
 
     Record& recordOf(const ServerEntry& server);
     ServerLoad loadOf(const ServerEntry& server, Record& record, const ServiceRecord& service,
         const std::vector<PromptPart>& prompt, TimePoint now) const;
-    void addSample(Record& record, ServiceRecord& service, Duration taken, Duration held, TimePoint now) const;
+    void addSample(Record& record, ServiceRecord& service, Duration taken, TimePoint now) const;
     void rememberPrompt(Record& record, const std::vector<PromptPart>& prompt, TimePoint now) const;
 
     const Clock& clock;
@@ -109,8 +98,6 @@
     mutable std::mutex mutex;
     std::map<std::string, Record> records; // by server id
     std::map<std::string, ServiceRecord> services;
-    std::map<std::string, std::uint32_t> others; // running calls of other nodes, by server id
-    TimePoint othersAt;
     std::uint64_t random = 0x9e3779b97f4a7c15ULL;
 };
 
--- a/lovagecross/gateway/ServerChoice.cpp
+++ b/lovagecross/gateway/ServerChoice.cpp
@@ -3,7 +3,6 @@
 #include "lovagecross/base/Hash.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 
 namespace lovagecross {
@@ -36,8 +35,7 @@
 {
     std::uint64_t cached = preferred ? std::max(server.cachedTokens, request.promptTokens) : server.cachedTokens;
     std::uint64_t unread = request.promptTokens - std::min(request.promptTokens, cached);
-    double batchShare = static_cast<double>(server.running) / std::max<std::uint32_t>(1, server.slots);
-    return static_cast<double>(unread) / settings.prefillTokensPerMilli + batchShare * settings.fullBatchMillis;
+    return static_cast<double>(unread) / settings.prefillTokensPerMilli + server.running * settings.loadMillisPerCall;
 }
 
 double costOf(const ChoiceRequest& request, const ServerLoad& server, bool preferred, const ChoiceSettings& settings)
@@ -45,9 +43,8 @@
     double callMillis = server.meanCallMillis > 0 ? server.meanCallMillis : settings.callMillis;
     double slots = std::max<std::uint32_t>(1, server.slots);
     double millis = callMillis;
-    double heldMillis = server.meanHeldMillis > 0 ? server.meanHeldMillis : callMillis;
     if (server.running >= server.slots)
-        millis += (server.running - server.slots + 1) * heldMillis / slots;
+        millis += (server.running - server.slots + 1) * callMillis / slots;
     if (request.engine)
         millis += engineMillis(request, server, preferred, settings);
     else
@@ -56,65 +53,10 @@
         millis += settings.coldMillis;
     millis *= server.slowness;
     if (server.dataCentre != request.dataCentre)
-        millis += settings.otherDataCentreMillis + settings.farMillis;
+        millis += settings.otherDataCentreMillis;
     return millis;
 }
 
-// The usable servers in the order in which they are compared: those first for the conversation, object or call before
-// others.
-struct RankedServers {
-    std::vector<std::size_t> near; // of the own data centre
-    std::vector<std::size_t> far;
-};
-
-RankedServers rankServers(const ChoiceRequest& request, const std::vector<ServerLoad>& servers, std::uint64_t rankSeed)
-{
-    RankedServers ranked;
-    std::vector<std::uint64_t> ranks(servers.size());
-    for (std::size_t i = 0; i < servers.size(); ++i) {
-        if (!servers[i].usable)
-            continue;
-        ranks[i] = stableHash(servers[i].id, rankSeed);
-        (servers[i].dataCentre == request.dataCentre ? ranked.near : ranked.far).push_back(i);
-    }
-    auto before = [&ranks](std::size_t left, std::size_t right) { return ranks[left] > ranks[right]; };
-    std::sort(ranked.near.begin(), ranked.near.end(), before);
-    std::sort(ranked.far.begin(), ranked.far.end(), before);
-    return ranked;
-}
-
-// The first `nearCount` and `farCount` of each, more of the others where one list is short, and those that have read
-// much of the prompt.
-std::vector<std::size_t> candidatesOf(const RankedServers& ranked, const ChoiceRequest& request,
-    const std::vector<ServerLoad>& servers, std::size_t nearCount, std::size_t farCount)
-{
-    std::size_t near = std::min(ranked.near.size(), nearCount);
-    std::size_t far = std::min(ranked.far.size(), farCount + (nearCount - near));
-    std::vector<std::size_t> candidates(ranked.near.begin(), ranked.near.begin() + static_cast<std::ptrdiff_t>(near));
-    candidates.insert(candidates.end(), ranked.far.begin(), ranked.far.begin() + static_cast<std::ptrdiff_t>(far));
-    for (const auto* list : { &ranked.near, &ranked.far }) {
-        for (std::size_t index : *list) {
-            bool known = std::find(candidates.begin(), candidates.end(), index) != candidates.end();
-            if (!known && servers[index].cachedTokens * 2 > request.promptTokens)
-                candidates.push_back(index);
-        }
-    }
-    return candidates;
-}
-
-// One of the cheapest candidates.
-std::size_t cheapestOf(
-    const std::vector<std::size_t>& candidates, const std::vector<double>& costs, double tie, std::uint64_t tieBreak)
-{
-    double best = std::numeric_limits<double>::max();
-    for (std::size_t index : candidates)
-        best = std::min(best, costs[index]);
-    std::vector<std::size_t> cheapest;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(cheapest),
-        [&](std::size_t index) { return costs[index] <= best + tie; });
-    return cheapest[tieBreak % cheapest.size()];
-}
-
 } // namespace
 
 ServerChoice chooseServer(const ChoiceRequest& request, const std::vector<ServerLoad>& servers,
@@ -124,28 +66,31 @@
     std::optional<std::size_t> preferred;
     if (request.affinityHash != 0)
         preferred = preferredServer(request, servers);
-    RankedServers ranked = rankServers(request, servers, request.affinityHash != 0 ? request.affinityHash : tieBreak);
-    choice.usable = ranked.near.size() + ranked.far.size();
+    double best = std::numeric_limits<double>::max();
+    std::vector<double> costs(servers.size(), best);
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (!servers[i].usable)
+            continue;
+        ++choice.usable;
+        costs[i] = costOf(request, servers[i], preferred == i, settings);
+        best = std::min(best, costs[i]);
+    }
     if (choice.usable == 0)
         return choice;
-    std::vector<double> costs(servers.size(), std::numeric_limits<double>::max());
-    std::size_t nearCount = settings.nearCandidates;
-    std::size_t farCount = settings.farCandidates;
-    for (;;) {
-        auto candidates = candidatesOf(ranked, request, servers, nearCount, farCount);
-        for (std::size_t index : candidates)
-            costs[index] = costOf(request, servers[index], preferred == index, settings);
-        std::size_t chosen = cheapestOf(candidates, costs, settings.tieMillis, tieBreak);
-        choice.chosen = chosen;
-        choice.costMillis = costs[chosen];
-        const ServerLoad& server = servers[chosen];
-        bool poor = server.slowness > settings.wideningSlowness
-            || server.running >= settings.wideningLoad * std::max<std::uint32_t>(1, server.slots);
-        if (!poor || candidates.size() >= choice.usable)
-            return choice;
-        nearCount *= 2;
-        farCount *= 2;
+    std::size_t ties = 0;
+    for (double cost : costs)
+        ties += cost <= best + settings.tieMillis ? 1 : 0;
+    std::size_t pick = tieBreak % ties;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (costs[i] > best + settings.tieMillis)
+            continue;
+        if (pick-- == 0) {
+            choice.chosen = i;
+            choice.costMillis = costs[i];
+            break;
+        }
     }
+    return choice;
 }
 
 } // namespace lovagecross
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -132,22 +132,10 @@
     std::string content;
 };
 
-// Calls that run at one backend server, of the nodes that a message speaks for.
-struct ServerRunning {
-    std::string id;
-    std::uint32_t running = 0;
-
-    bool operator==(const ServerRunning&) const = default;
-};
-
-// Asks a node that follows the registry for what differs from what the asking node knows, and tells it the calls of the
-// asking node, or of all nodes of its data centre that told it theirs.
+// Asks a node that follows the registry for what differs from what the asking node knows.
 struct DirectoryFetch {
     std::uint64_t configurationVersion = 0; // 0: none is known
     std::uint64_t serversDigest = 0; // of the servers known; 0: none are
-    std::string node; // empty: it tells no calls
-    bool forDataCentre = false; // `running` is of its whole data centre, and so is that of the answer
-    std::vector<ServerRunning> running;
 };
 
 struct DirectoryServer {
@@ -168,7 +156,6 @@
     bool hasServers = false; // `servers` is the whole list; otherwise it is as the asking node knows it
     std::vector<DirectoryServer> servers;
     std::string configurationDocument; // in the platform's own form; empty unless it is newer
-    std::vector<ServerRunning> running; // of all nodes that have told theirs lately
 };
 
 using PeerRequest = std::variant<PromiseRequest, BridgeBatch, BridgeTrim, BridgeFetch, Gossip, ConfigFetch,
--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -29,13 +29,12 @@
 } // namespace
 
 DirectoryFollower::DirectoryFollower(DirectoryFollowerSettings followerSettings, PeerClient& peerClient,
-    Directory& target, ConfigurationDecoder configurationDecoder, const Clock& givenClock, LoadExchange loadExchange)
+    Directory& target, ConfigurationDecoder configurationDecoder, const Clock& givenClock)
     : settings(followerSettings)
     , peers(peerClient)
     , directory(target)
     , decode(std::move(configurationDecoder))
     , clock(givenClock)
-    , loads(std::move(loadExchange))
 {
 }
 
@@ -61,16 +60,10 @@
     DirectoryFetch fetch;
     fetch.configurationVersion = view->configuration ? view->configuration->version : 0;
     fetch.serversDigest = view->serversDigest;
-    if (this->loads.own) {
-        fetch.node = this->loads.node;
-        fetch.running = this->loads.own();
-    }
     PeerResult result = this->peers.request(publisher, fetch, this->settings.timeout, {});
     const auto* update = std::get_if<DirectoryUpdate>(&result.answer);
     if (result.status != PeerStatus::Ok || update == nullptr)
         return false;
-    if (this->loads.take)
-        this->loads.take(update->running, fetch.running);
     this->take(*update);
     return update->registryKnown && update->registryAgeMillis <= toMillis(this->settings.oldestRegistry);
 }
--- a/lovagecross/sharing/DirectoryFollower.h
+++ b/lovagecross/sharing/DirectoryFollower.h
@@ -24,15 +24,8 @@
 // Turns a configuration in the platform's own form into the product's; nullopt, with a log line, for a bad one.
 using ConfigurationDecoder = std::function<std::optional<GatewayConfiguration>(const std::string& document)>;
 
-// What a node tells of its running calls, and what it learns of those of all nodes.
-struct LoadExchange {
-    std::string node;
-    std::function<std::vector<ServerRunning>()> own;
-    std::function<void(const std::vector<ServerRunning>& total, const std::vector<ServerRunning>& ownThen)> take;
-};
-
 struct DirectoryFollowerSettings {
-    Duration interval = std::chrono::milliseconds(300);
+    Duration interval = std::chrono::milliseconds(500);
     Duration timeout = std::chrono::milliseconds(200);
     Duration oldestRegistry = std::chrono::milliseconds(1200); // read by the publisher longer ago: ask another one
 };
@@ -40,7 +33,7 @@
 class DirectoryFollower {
 public:
     DirectoryFollower(DirectoryFollowerSettings followerSettings, PeerClient& peerClient, Directory& target,
-        ConfigurationDecoder configurationDecoder, const Clock& givenClock, LoadExchange loadExchange = {});
+        ConfigurationDecoder configurationDecoder, const Clock& givenClock);
 
     // Asks one publisher after the other, the first of `publishers` first, until one gives a fresh answer. Returns the
     // pause until the next step.
@@ -58,7 +51,6 @@
     Directory& directory;
     const ConfigurationDecoder decode;
     const Clock& clock;
-    const LoadExchange loads;
     std::atomic<bool> fresh { false };
 };
 
--- a/lovagecross/sharing/DirectoryFollowerTest.cpp
+++ b/lovagecross/sharing/DirectoryFollowerTest.cpp
@@ -102,10 +102,10 @@
         source.replaceServers({ server("a") }, 10);
         std::uint64_t digest = source.view()->serversDigest;
         source.changeServers({ { "a", server("a") } }, 20);
-        DirectoryUpdate update = answerDirectoryFetch(source, { 0, digest, {}, false, {} });
+        DirectoryUpdate update = answerDirectoryFetch(source, { 0, digest });
         CPPUNIT_ASSERT(update.registryKnown && !update.hasServers && update.registryRevision == 20);
         source.changeServers({ { "a", server("a", ServerState::Draining) } }, 21);
-        CPPUNIT_ASSERT(answerDirectoryFetch(source, { 0, digest, {}, false, {} }).hasServers);
+        CPPUNIT_ASSERT(answerDirectoryFetch(source, { 0, digest }).hasServers);
     }
 
     // The platform may refuse some nodes while it serves others.
