--- a/lovagecross/records/RecordNodeUpkeep.cpp
+++ b/lovagecross/records/RecordNodeUpkeep.cpp
@@ -208,7 +208,8 @@
     LogLine(LogLevel::Info, "roster_joined")
         .field("epoch", next.epoch)
         .field("founding", founding)
-        .field("replaced", lost.empty() ? std::string() : lost.front())
+        .field("silent", lost.size())
+        .field("members", next.members.size())
         .write();
     this->newDisk = false;
     // Grants of the founding time may lie at the platform.
