--- a/lovagecross/records/PlatformRecordsTest.cpp
+++ b/lovagecross/records/PlatformRecordsTest.cpp
@@ -2,8 +2,10 @@
 
 #include "lovagecross/testing/InMemoryObjectStore.h"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
+#include <vector>
 
 namespace lovagecross {
 
@@ -58,8 +60,10 @@
     void votesAtOnceDoNotExceedTheBudget()
     {
         std::atomic<std::uint64_t> granted { 0 };
+        constexpr int nodes = 8;
         std::vector<std::thread> threads;
-        for (int i = 0; i < 8; ++i) {
+        threads.reserve(nodes);
+        for (int i = 0; i < nodes; ++i) {
             threads.emplace_back([this, i, &granted] {
                 PlatformRecords own(this->store, this->counters);
                 for (int j = 0; j < 5; ++j) {
