Entry nodes: keep the roster alive while its replicas are read

Change: the roster is kept, and replicasOf takes no temporary, so the compiler refuses it: it found two uses in a test. Before: unit.records under the address sanitizer aborted. After: recordsTests pass under it.

--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -164,8 +164,9 @@
 // Asks a member for the roster, then the platform, and while that can't be reached all members and seeds.
 void RecordClient::followRoster()
 {
+    Roster known = this->roster(); // the replicas point into it
     std::vector<std::string> members;
-    for (const RosterMember* member : replicasOf(this->roster(), this->settings.ownAddress, this->settings.tolerance))
+    for (const RosterMember* member : replicasOf(known, this->settings.ownAddress, this->settings.tolerance))
         members.push_back(member->address);
     if (!members.empty() && this->askForRoster({ members.front() }))
         return;
--- a/lovagecross/records/Roster.h
+++ b/lovagecross/records/Roster.h
@@ -48,7 +48,9 @@
 
 // The members that hold the records of a group: 2 * machines + 1 of them where there are as many, spread over data
 // centres so that the loss of one leaves a majority where the roster allows it. The same on every node.
+// They point into `roster`, which must not be a temporary.
 std::vector<const RosterMember*> replicasOf(const Roster& roster, std::string_view group, const Tolerance& tolerance);
+std::vector<const RosterMember*> replicasOf(Roster&&, std::string_view, const Tolerance&) = delete;
 
 std::size_t majorityOf(std::size_t replicas);
 
--- a/lovagecross/records/RosterTest.cpp
+++ b/lovagecross/records/RosterTest.cpp
@@ -82,8 +82,10 @@
                 used.insert(replica->node);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(9), used.size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(3), replicasOf(threeMembers(), "p", { 1, 1 }).size());
-        CPPUNIT_ASSERT(replicasOf({}, "p", { 1, 1 }).empty());
+        Roster three = threeMembers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), replicasOf(three, "p", { 1, 1 }).size());
+        Roster none;
+        CPPUNIT_ASSERT(replicasOf(none, "p", { 1, 1 }).empty());
     }
 
     void copiesMustSpreadOverDataCentres()
