One Base64 for the object stores and the records at the platform

PlatformRecords decoded Base64 through a stream's own operator, which turns the decoder's exception into a short result: a damaged record was parsed up to the damage. It now calls the same decodeBase64 as HttpObjectStore, which refuses such text, and its three listings share one.

--- a/lovagecross/adapters/HttpObjectStore.cpp
+++ b/lovagecross/adapters/HttpObjectStore.cpp
@@ -1,14 +1,13 @@
 #include "lovagecross/adapters/HttpObjectStore.h"
 
+#include "lovagecross/adapters/Base64.h"
 #include "lovagecross/adapters/HttpConnection.h"
 #include "lovagecross/adapters/HttpConnectionPool.h"
 
-#include <Poco/Base64Decoder.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <iterator>
-#include <sstream>
+#include <utility>
 #include <vector>
 
 namespace lovagecross {
@@ -72,13 +71,6 @@
     return call;
 }
 
-std::string decodeBase64(const std::string& text)
-{
-    std::istringstream encoded(text);
-    Poco::Base64Decoder decoder(encoded);
-    return std::string(std::istreambuf_iterator<char>(decoder), {});
-}
-
 // Throws when the body isn't of the documented form.
 std::vector<StoredObject> parseList(const std::string& body, bool withValues)
 {
@@ -96,8 +88,12 @@
         StoredObject object;
         object.key = entry->getValue<std::string>("key");
         object.version = entry->getValue<Poco::UInt64>("version");
-        if (withValues)
-            object.value = decodeBase64(entry->getValue<std::string>("value"));
+        if (withValues) {
+            auto value = decodeBase64(entry->getValue<std::string>("value"));
+            if (!value)
+                throw Poco::DataFormatException("a value is not Base64");
+            object.value = std::move(*value);
+        }
         objects.push_back(std::move(object));
     }
     return objects;
--- a/lovagecross/records/PlatformRecords.cpp
+++ b/lovagecross/records/PlatformRecords.cpp
@@ -1,11 +1,9 @@
 #include "lovagecross/records/PlatformRecords.h"
 
+#include "lovagecross/adapters/Base64.h"
 #include "lovagecross/adapters/Log.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 namespace lovagecross {
@@ -32,12 +30,7 @@
 // {"records":"BASE64"}, the bytes being those of a record message.
 std::string printRecords(const RecordResponse& records)
 {
-    std::ostringstream text;
-    Poco::Base64Encoder encoder(text);
-    encoder.rdbuf()->setLineLength(0);
-    encoder << encodeRecordResponse(records);
-    encoder.close();
-    return "{\"records\":\"" + text.str() + "\"}";
+    return "{\"records\":\"" + encodeBase64(encodeRecordResponse(records)) + "\"}";
 }
 
 std::optional<RecordResponse> parseRecords(std::string_view value)
@@ -46,11 +39,8 @@
     std::size_t end = value.rfind('"');
     if (start == std::string_view::npos || end <= start + 2)
         return std::nullopt;
-    std::istringstream input(std::string(value.substr(start + 2, end - start - 2)));
-    Poco::Base64Decoder decoder(input);
-    std::ostringstream bytes;
-    bytes << decoder.rdbuf();
-    return decodeRecordResponse(bytes.str());
+    auto bytes = decodeBase64(std::string(value.substr(start + 2, end - start - 2)));
+    return bytes ? decodeRecordResponse(*bytes) : std::nullopt;
 }
 
 bool allExpired(const RecordResponse& records, std::int64_t nowUnixMillis)
@@ -133,34 +123,44 @@
     return PlatformVote::Unavailable;
 }
 
-std::optional<std::vector<Reservation>> PlatformRecords::reservations()
+std::optional<std::vector<PlatformRecords::Listed>> PlatformRecords::list(std::string_view prefix)
 {
-    ListResult listed = this->store.list(budgetPrefix, true);
+    ListResult listed = this->store.list(prefix, true);
     if (listed.status != StoreStatus::Ok)
         return std::nullopt;
-    std::vector<Reservation> all;
-    for (const StoredObject& object : listed.objects) {
+    std::vector<Listed> all;
+    for (StoredObject& object : listed.objects) {
         auto records = parseRecords(object.value);
-        if (!records) {
+        if (!records)
             LogLine(LogLevel::Error, "platform_record_unreadable").field("key", object.key).write();
+        all.push_back({ std::move(object.key), object.version, std::move(records) });
+    }
+    return all;
+}
+
+std::optional<std::vector<Reservation>> PlatformRecords::reservations()
+{
+    auto listed = this->list(budgetPrefix);
+    if (!listed)
+        return std::nullopt;
+    std::vector<Reservation> all;
+    for (const Listed& entry : *listed) {
+        if (!entry.records)
             return std::nullopt;
-        }
-        all.insert(all.end(), records->reservations.begin(), records->reservations.end());
+        all.insert(all.end(), entry.records->reservations.begin(), entry.records->reservations.end());
     }
     return all;
 }
 
 std::optional<std::vector<StoredTurn>> PlatformRecords::turns()
 {
-    ListResult listed = this->store.list(keptTurnPrefix, true);
-    if (listed.status != StoreStatus::Ok)
+    auto listed = this->list(keptTurnPrefix);
+    if (!listed)
         return std::nullopt;
     std::vector<StoredTurn> all;
-    for (const StoredObject& object : listed.objects) {
-        if (auto records = parseRecords(object.value))
-            all.insert(all.end(), records->turns.begin(), records->turns.end());
-        else
-            LogLine(LogLevel::Error, "platform_record_unreadable").field("key", object.key).write();
+    for (const Listed& entry : *listed) {
+        if (entry.records)
+            all.insert(all.end(), entry.records->turns.begin(), entry.records->turns.end());
     }
     return all;
 }
@@ -173,11 +173,12 @@
 
 void PlatformRecords::removeExpiredBudgets(std::int64_t nowUnixMillis)
 {
-    for (const StoredObject& object : this->store.list(budgetPrefix, true).objects) {
-        auto records = parseRecords(object.value);
-        if (!records || !allExpired(*records, nowUnixMillis))
-            continue;
-        this->removed.add(this->store.remove(object.key, object.version).ok() ? 1 : 0);
+    auto listed = this->list(budgetPrefix);
+    if (!listed)
+        return; // the next round finds them
+    for (const Listed& entry : *listed) {
+        if (entry.records && allExpired(*entry.records, nowUnixMillis))
+            this->removed.add(this->store.remove(entry.key, entry.version).ok() ? 1 : 0);
     }
 }
 
--- a/lovagecross/records/PlatformRecords.h
+++ b/lovagecross/records/PlatformRecords.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lovagecross {
@@ -62,6 +63,15 @@
     void removeExpiredBudgets(std::int64_t nowUnixMillis);
 
 private:
+    struct Listed {
+        std::string key;
+        std::uint64_t version = 0;
+        std::optional<RecordResponse> records; // nullopt: they can't be read
+    };
+
+    // nullopt when the platform doesn't answer.
+    std::optional<std::vector<Listed>> list(std::string_view prefix);
+
     ObjectStore& store;
     Counter& turnsKept;
     Counter& votes;
