--- a/lovagecross/gateway/DirectoryTest.cpp
+++ b/lovagecross/gateway/DirectoryTest.cpp
@@ -1,5 +1,7 @@
 #include "lovagecross/gateway/Directory.h"
 
+#include "lovagecross/testing/ServerEntries.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace lovagecross {
@@ -7,16 +9,7 @@
 namespace {
 
 using std::chrono::milliseconds;
-
-ServerEntry server(const std::string& id, ServerState state = ServerState::Ready)
-{
-    ServerEntry entry;
-    entry.id = id;
-    entry.service = "tool";
-    entry.address = "127.0.0.1:1";
-    entry.state = state;
-    return entry;
-}
+using testing::makeServerEntry;
 
 GatewayConfiguration configuration(std::uint64_t version)
 {
@@ -53,10 +46,10 @@
     {
         ManualClock clock;
         Directory directory(clock);
-        directory.replaceServers({ server("a"), server("b") }, 10);
+        directory.replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
         directory.changeServers({ { "a", std::nullopt } }, 11);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.view()->serversOf("tool").size());
-        directory.changeServers({ { "b", server("b", ServerState::Draining) } }, 12);
+        directory.changeServers({ { "b", makeServerEntry("b", ServerState::Draining) } }, 12);
         CPPUNIT_ASSERT(directory.view()->serversOf("tool")[0].state == ServerState::Draining);
         CPPUNIT_ASSERT(directory.view()->serversOf("other").empty());
     }
@@ -66,12 +59,12 @@
     {
         ManualClock clock;
         Directory directory(clock);
-        directory.replaceServers({ server("a"), server("b"), server("c") }, 10);
+        directory.replaceServers({ makeServerEntry("a"), makeServerEntry("b"), makeServerEntry("c") }, 10);
         clock.advance(std::chrono::seconds(9));
         directory.registryUnreachable();
-        directory.replaceServers({ server("c") }, 20);
+        directory.replaceServers({ makeServerEntry("c") }, 20);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), directory.view()->serversOf("tool").size());
-        directory.changeServers({ { "a", server("a") } }, 21);
+        directory.changeServers({ { "a", makeServerEntry("a") } }, 21);
         clock.advance(Directory::lapsedGrace + milliseconds(1));
         directory.expireLapsed();
         const auto& left = directory.view()->serversOf("tool");
@@ -83,10 +76,10 @@
     {
         ManualClock clock;
         Directory directory(clock);
-        directory.replaceServers({ server("a", ServerState::Draining), server("b") }, 10);
+        directory.replaceServers({ makeServerEntry("a", ServerState::Draining), makeServerEntry("b") }, 10);
         clock.advance(std::chrono::seconds(9));
         directory.registryUnreachable();
-        directory.replaceServers({ server("b") }, 20);
+        directory.replaceServers({ makeServerEntry("b") }, 20);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.view()->serversOf("tool").size());
     }
 
@@ -96,7 +89,7 @@
     {
         ManualClock clock;
         Directory directory(clock);
-        directory.replaceServers({ server("a"), server("b") }, 10);
+        directory.replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
         for (int i = 0; i < 14; ++i) {
             clock.advance(milliseconds(500));
             directory.registryUnreachable();
@@ -111,9 +104,9 @@
     {
         ManualClock clock;
         Directory directory(clock);
-        directory.replaceServers({ server("a") }, 10);
+        directory.replaceServers({ makeServerEntry("a") }, 10);
         directory.changeServers({ { "a", std::nullopt } }, 12);
-        directory.replaceServers({ server("a") }, 11);
+        directory.replaceServers({ makeServerEntry("a") }, 11);
         CPPUNIT_ASSERT(directory.view()->serversOf("tool").empty());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), directory.view()->registryRevision);
     }
--- /dev/null
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -0,0 +1,320 @@
+#pragma once
+
+// A gateway between scripted backend servers and raw connections of callers, for its tests.
+//
+// Thread safety: one test at a time.
+
+#include "lovagecross/gateway/Gateway.h"
+#include "lovagecross/testing/ScriptedServer.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace lovagecross {
+
+using std::chrono::milliseconds;
+using testing::Script;
+using testing::ScriptedConnection;
+using testing::ScriptedRequest;
+using testing::ScriptedServer;
+
+// Plain header names, as a platform of the tests.
+class TestCodec final : public CallCodec {
+public:
+    Call decodeCall(const HeaderList& headers) const override
+    {
+        Call call;
+        call.requestId = this->text(headers, "Id");
+        call.program = this->text(headers, "Program");
+        call.session = this->text(headers, "Session");
+        call.previousTurn = this->text(headers, "Previous");
+        call.affinityKey = this->text(headers, "Affinity");
+        if (auto millis = parseUnsigned(this->text(headers, "Time")))
+            call.timeLeft = milliseconds(*millis);
+        call.tokenBudget = parseUnsigned(this->text(headers, "Budget"));
+        call.maxOutputTokens = parseUnsigned(this->text(headers, "Max")).value_or(0);
+        return call;
+    }
+    HeaderList encodeOrder(const HeaderList& callerHeaders, const ServerOrder& order) const override
+    {
+        HeaderList headers;
+        for (const HeaderField& field : callerHeaders.fields()) {
+            if (!isConnectionField(field.name, callerHeaders) && !equalsIgnoringCase(field.name, "Time"))
+                headers.add(field.name, field.value);
+        }
+        headers.add("Time", std::to_string(toMillis(order.timeLeft)));
+        headers.add("Server", order.serverId);
+        if (order.resumeAfter)
+            headers.set("Last-Event-Id", std::to_string(*order.resumeAfter));
+        return headers;
+    }
+    ServerRemarks decodeRemarks(int, const HeaderList& headers) const override
+    {
+        return { this->text(headers, "Id"), headers.has("Signed"), headers.has("Not-Executed") };
+    }
+    HeaderList encodeAnswer(const Call& call, std::optional<Duration> retryAfter) const override
+    {
+        HeaderList headers;
+        headers.add("Id", call.requestId);
+        if (retryAfter)
+            headers.add("Retry-After", std::to_string(std::chrono::duration<double>(*retryAfter).count()));
+        return headers;
+    }
+
+private:
+    static std::string text(const HeaderList& headers, const char* name)
+    {
+        const std::string* value = headers.find(name);
+        return value != nullptr ? *value : std::string();
+    }
+};
+
+class FakeTurns final : public TurnStore, public TokenBudgets {
+public:
+    Chain chain(const std::string& id, TimePoint) override
+    {
+        std::lock_guard lock(this->mutex);
+        if (!this->available)
+            return { ChainStatus::Unavailable, {}, 0, milliseconds(70) };
+        auto found = this->kept.find(id);
+        if (found == this->kept.end())
+            return { ChainStatus::Absent, {}, 0, Duration(0) };
+        return { ChainStatus::Found, found->second.input + found->second.output, 1, Duration(0) };
+    }
+    bool keep(const TurnRecord& record, TimePoint) override
+    {
+        std::lock_guard lock(this->mutex);
+        if (!this->available)
+            return false;
+        this->kept[record.id] = record;
+        return true;
+    }
+    Grant reserve(const GrantRequest& request, TimePoint) override
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->used + request.tokens > request.budget)
+            return { GrantStatus::Exhausted, this->used, Duration(0) };
+        this->used += request.tokens;
+        return { GrantStatus::Granted, this->used, Duration(0) };
+    }
+    void settle(const GrantRequest& request, std::uint64_t usedTokens) override
+    {
+        std::lock_guard lock(this->mutex);
+        this->used -= request.tokens - usedTokens;
+    }
+
+    std::mutex mutex;
+    bool available = true;
+    std::map<std::string, TurnRecord> kept;
+    std::uint64_t used = 0;
+};
+
+inline std::string answerTo(const ScriptedRequest& request, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + request.header("Id")
+        + "\r\nSigned: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string streamHead(const ScriptedRequest& request)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + request.header("Id") + "\r\nSigned: " + request.header("Server")
+        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk(const std::string& content)
+{
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", content.size());
+    return size + content + "\r\n";
+}
+
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+// One connection of a caller.
+class CallerSocket {
+public:
+    explicit CallerSocket(const std::string& address)
+        : socket(Poco::Net::SocketAddress(address))
+    {
+        this->socket.setReceiveTimeout(Poco::Timespan(5, 0));
+    }
+
+    void write(const std::string& bytes) { this->socket.sendBytes(bytes.data(), static_cast<int>(bytes.size())); }
+    void close() { this->socket.close(); }
+
+    // Everything until the connection ends or `complete` is satisfied.
+    std::string read(const std::function<bool(const std::string&)>& complete)
+    {
+        std::string bytes;
+        char buffer[4096];
+        try {
+            while (!complete(bytes)) {
+                int count = this->socket.receiveBytes(buffer, sizeof(buffer));
+                if (count <= 0)
+                    return bytes + "<closed>";
+                bytes.append(buffer, static_cast<std::size_t>(count));
+            }
+        } catch (const Poco::TimeoutException&) {
+            return bytes + "<timeout>";
+        } catch (const Poco::Exception&) {
+            return bytes + "<reset>";
+        }
+        return bytes;
+    }
+
+    // One answer with a length, or a whole chunked one.
+    std::string readAnswer()
+    {
+        return this->read([](const std::string& bytes) {
+            std::size_t end = bytes.find("\r\n\r\n");
+            if (end == std::string::npos)
+                return false;
+            std::size_t at = bytes.find("Content-Length: ");
+            if (at < end)
+                return bytes.size() >= end + 4 + std::stoul(bytes.substr(at + 16));
+            return bytes.size() >= 5 && bytes.substr(bytes.size() - 5) == "0\r\n\r\n";
+        });
+    }
+
+private:
+    Poco::Net::StreamSocket socket;
+};
+
+inline bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+class GatewayFixture : public CppUnit::TestFixture {
+public:
+    void setUp() override
+    {
+        this->directory = std::make_unique<Directory>(this->clock);
+        this->book = std::make_unique<ServerBook>(this->clock, "a");
+        this->pool = std::make_unique<ConnectionPool>(this->clock, milliseconds(300));
+        this->turns = std::make_unique<FakeTurns>();
+        this->parts.reset(new GatewayParts { this->clock, *this->directory, *this->book, *this->pool, this->codec,
+            *this->turns, *this->turns, GatewayCounters(this->counters) });
+        Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
+        this->address = probe.address().toString();
+        probe.close();
+        this->gateway = std::make_unique<Gateway>(GatewaySettings { this->address, 64 }, *this->parts);
+        this->gateway->start();
+        this->directory->applyConfiguration(this->configuration());
+    }
+
+    void tearDown() override
+    {
+        this->gateway->stop(std::chrono::seconds(5));
+        this->gateway.reset();
+        this->servers.clear();
+        this->entries.clear();
+    }
+
+protected:
+    static Route route(const std::string& prefix, CallKind kind, std::uint32_t attempts)
+    {
+        Route made;
+        made.name = prefix;
+        made.host = "h";
+        made.pathPrefix = prefix;
+        made.kind = kind;
+        made.services = { { "s", 1 } };
+        made.timeout = milliseconds(1500);
+        made.targetLatency = milliseconds(100);
+        made.targetGap = milliseconds(100);
+        made.maxAttempts = attempts;
+        return made;
+    }
+
+    GatewayConfiguration configuration() const
+    {
+        GatewayConfiguration made;
+        made.version = 1;
+        made.routes = { route("/safe/", CallKind::Safe, 2), route("/unsafe/", CallKind::Unsafe, 2),
+            route("/stream/", CallKind::Streaming, 2), route("/turn/", CallKind::Streaming, 2) };
+        made.routes[2].resumable = true;
+        made.routes[3].keepsTurns = true;
+        ServiceSpec service;
+        service.name = "s";
+        service.engine = EngineTraits {};
+        service.engine->tokensPerEvent = 4;
+        made.services["s"] = service;
+        made.limits.maxHeadBytes = 2000;
+        made.limits.maxBodyBytes = 100'000;
+        made.limits.headTimeout = milliseconds(300);
+        return made;
+    }
+
+    void addServer(Script script)
+    {
+        this->servers.push_back(std::make_unique<ScriptedServer>(std::move(script)));
+        ServerEntry entry;
+        entry.id = "server" + std::to_string(this->servers.size());
+        entry.service = "s";
+        entry.address = this->servers.back()->address();
+        entry.dataCentre = "a";
+        entry.slots = 8;
+        this->entries.push_back(entry);
+        this->directory->replaceServers(this->entries, this->entries.size());
+    }
+
+    // Several servers with the same script.
+    void addServers(int count, const Script& script)
+    {
+        for (int i = 0; i < count; ++i)
+            this->addServer(script);
+    }
+
+    int requestsAtServers() const
+    {
+        int total = 0;
+        for (const auto& server : this->servers)
+            total += server->requests();
+        return total;
+    }
+
+    static std::string get(const std::string& path, const std::string& id, const std::string& more = {})
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n" + more + "\r\n";
+    }
+    static std::string post(
+        const std::string& path, const std::string& id, const std::string& body, const std::string& more = {})
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n" + more
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    std::string ask(const std::string& request)
+    {
+        CallerSocket caller(this->address);
+        caller.write(request);
+        return caller.readAnswer();
+    }
+
+    SystemClock clock;
+    Counters counters;
+    std::unique_ptr<Directory> directory;
+    std::unique_ptr<ServerBook> book;
+    std::unique_ptr<ConnectionPool> pool;
+    TestCodec codec;
+    std::unique_ptr<FakeTurns> turns;
+    std::unique_ptr<GatewayParts> parts;
+    std::unique_ptr<Gateway> gateway;
+    std::string address;
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    std::vector<ServerEntry> entries;
+};
+
+} // namespace lovagecross
--- /dev/null
+++ b/lovagecross/gateway/GatewayStreamTest.cpp
@@ -0,0 +1,121 @@
+// Streams, turns of conversations and token budgets through a gateway.
+
+#include "lovagecross/gateway/GatewayFixture.h"
+
+namespace lovagecross {
+
+class GatewayStreamTest : public GatewayFixture {
+    CPPUNIT_TEST_SUITE(GatewayStreamTest);
+    CPPUNIT_TEST(resumableStreamGoesOnElsewhere);
+    CPPUNIT_TEST(cutStreamIsNotCompletedWithoutItsEnd);
+    CPPUNIT_TEST(streamWithMissingEventEnds);
+    CPPUNIT_TEST(turnCarriesItsConversation);
+    CPPUNIT_TEST(turnThatCanNotBeKeptHasNoEnd);
+    CPPUNIT_TEST(spentBudgetIsRefusedWithoutRunning);
+    CPPUNIT_TEST_SUITE_END();
+
+    // The second server must not repeat or lose an event, and the answer keeps the first server's signature.
+    void resumableStreamGoesOnElsewhere()
+    {
+        std::mutex mutex;
+        std::vector<std::string> resumedAfter;
+        this->addServers(2, [&](const ScriptedRequest& request, ScriptedConnection& connection) {
+            std::string after = request.header("Last-Event-Id");
+            {
+                std::lock_guard lock(mutex);
+                resumedAfter.push_back(after);
+            }
+            int start = after.empty() ? 1 : std::stoi(after) + 1;
+            connection.write(streamHead(request) + chunk(event(start)) + chunk(event(start + 1)));
+            if (after.empty()) {
+                connection.write("8\r\nid: 3\nda");
+                connection.reset();
+                return false;
+            }
+            return connection.write(chunk(event(start + 2)) + "0\r\n\r\n");
+        });
+        std::string answer = this->ask(post("/stream/", "r1", "x"));
+        CPPUNIT_ASSERT_MESSAGE(answer, has(answer, "0\r\n\r\n"));
+        std::size_t at = 0;
+        for (int id = 1; id <= 5; ++id) {
+            std::size_t next = answer.find(event(id));
+            CPPUNIT_ASSERT_MESSAGE(answer, next != std::string::npos && next >= at);
+            CPPUNIT_ASSERT_MESSAGE("doubled " + answer, answer.find(event(id), next + 1) == std::string::npos);
+            at = next;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), resumedAfter.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), resumedAfter[1]);
+    }
+
+    void cutStreamIsNotCompletedWithoutItsEnd()
+    {
+        this->addServers(2, [](const ScriptedRequest& request, ScriptedConnection& connection) {
+            connection.write(streamHead(request) + chunk(event(1)));
+            connection.reset();
+            return false;
+        });
+        std::string answer = this->ask(post("/turn/", "r1", "x"));
+        CPPUNIT_ASSERT_MESSAGE(answer, has(answer, event(1)) && !has(answer, "0\r\n\r\n") && has(answer, "<closed>"));
+        CPPUNIT_ASSERT_EQUAL(1, this->requestsAtServers());
+        CPPUNIT_ASSERT(this->turns->kept.empty());
+    }
+
+    void streamWithMissingEventEnds()
+    {
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            return connection.write(streamHead(request) + chunk(event(1)) + chunk(event(3)) + "0\r\n\r\n");
+        });
+        std::string answer = this->ask(post("/stream/", "r1", "x"));
+        CPPUNIT_ASSERT_MESSAGE(answer, !has(answer, event(3)) && !has(answer, "0\r\n\r\n"));
+    }
+
+    void turnCarriesItsConversation()
+    {
+        std::mutex mutex;
+        std::vector<std::string> bodies;
+        this->addServer([&](const ScriptedRequest& request, ScriptedConnection& connection) {
+            std::lock_guard lock(mutex);
+            bodies.push_back(request.body);
+            return connection.write(streamHead(request) + chunk(event(1) + event(2)) + "0\r\n\r\n");
+        });
+        CPPUNIT_ASSERT(has(this->ask(post("/turn/", "t1", "first|")), "0\r\n\r\n"));
+        CPPUNIT_ASSERT(has(this->ask(post("/turn/", "t2", "second|", "Previous: t1\r\n")), "0\r\n\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string("first|e1\ne2\nsecond|"), bodies[1]);
+        CPPUNIT_ASSERT_EQUAL(std::string("second|"), this->turns->kept["t2"].input);
+        std::string unknown = this->ask(post("/turn/", "t3", "third|", "Previous: none\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(unknown, has(unknown, "HTTP/1.1 404"));
+        this->turns->available = false;
+        std::string unavailable = this->ask(post("/turn/", "t4", "x", "Previous: t1\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(unavailable, has(unavailable, "HTTP/1.1 503") && has(unavailable, "Connection: close"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), bodies.size());
+    }
+
+    // The end of an answer says that the turn is kept.
+    void turnThatCanNotBeKeptHasNoEnd()
+    {
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            return connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+        });
+        this->turns->available = false;
+        std::string answer = this->ask(post("/turn/", "t1", "first"));
+        CPPUNIT_ASSERT_MESSAGE(answer, has(answer, event(1)) && !has(answer, "0\r\n\r\n"));
+    }
+
+    void spentBudgetIsRefusedWithoutRunning()
+    {
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            return connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+        });
+        const std::string fields = "Program: p\r\nBudget: 100\r\nMax: 60\r\n";
+        CPPUNIT_ASSERT(has(this->ask(post("/stream/", "r1", "x", fields)), "0\r\n\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), this->turns->used); // one event of four tokens
+        this->turns->used = 50;
+        std::string refused = this->ask(post("/stream/", "r2", "x", fields));
+        CPPUNIT_ASSERT_MESSAGE(refused, has(refused, "HTTP/1.1 402"));
+        CPPUNIT_ASSERT_EQUAL(1, this->requestsAtServers());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStreamTest);
+
+} // namespace lovagecross
--- a/lovagecross/sharing/DirectoryFollowerTest.cpp
+++ b/lovagecross/sharing/DirectoryFollowerTest.cpp
@@ -1,6 +1,7 @@
 #include "lovagecross/sharing/DirectoryFollower.h"
 
 #include "lovagecross/sharing/DirectoryPublisher.h"
+#include "lovagecross/testing/ServerEntries.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
@@ -10,6 +11,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using testing::makeServerEntry;
 
 // Publishers by address; an address without one doesn't answer.
 class PublisherPeers final : public PeerClient {
@@ -34,16 +36,6 @@
     int asked = 0;
 };
 
-ServerEntry server(const std::string& id, ServerState state = ServerState::Ready)
-{
-    ServerEntry entry;
-    entry.id = id;
-    entry.service = "tool";
-    entry.address = "127.0.0.1:1";
-    entry.state = state;
-    return entry;
-}
-
 GatewayConfiguration configuration(std::uint64_t version)
 {
     GatewayConfiguration made;
@@ -84,12 +76,12 @@
         this->peers.publishers["p"] = &source;
         auto follower = this->follow(target);
         source.applyConfiguration(configuration(3));
-        source.replaceServers({ server("a"), server("b") }, 10);
+        source.replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
         follower.step({ "p" });
         CPPUNIT_ASSERT(follower.upToDate());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), target.view()->configuration->version);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), target.view()->serversOf("tool").size());
-        source.changeServers({ { "a", server("a", ServerState::Draining) }, { "b", std::nullopt } }, 12);
+        source.changeServers({ { "a", makeServerEntry("a", ServerState::Draining) }, { "b", std::nullopt } }, 12);
         follower.step({ "p" });
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), target.view()->serversOf("tool").size());
         CPPUNIT_ASSERT(target.view()->serversOf("tool")[0].state == ServerState::Draining);
@@ -99,12 +91,12 @@
     void unchangedListsAreNotSentAgain()
     {
         Directory source(this->clock);
-        source.replaceServers({ server("a") }, 10);
+        source.replaceServers({ makeServerEntry("a") }, 10);
         std::uint64_t digest = source.view()->serversDigest;
-        source.changeServers({ { "a", server("a") } }, 20);
+        source.changeServers({ { "a", makeServerEntry("a") } }, 20);
         DirectoryUpdate update = answerDirectoryFetch(source, { 0, digest });
         CPPUNIT_ASSERT(update.registryKnown && !update.hasServers && update.registryRevision == 20);
-        source.changeServers({ { "a", server("a", ServerState::Draining) } }, 21);
+        source.changeServers({ { "a", makeServerEntry("a", ServerState::Draining) } }, 21);
         CPPUNIT_ASSERT(answerDirectoryFetch(source, { 0, digest }).hasServers);
     }
 
@@ -114,9 +106,9 @@
         Directory stale(this->clock);
         Directory fresh(this->clock);
         Directory target(this->clock);
-        stale.replaceServers({ server("a") }, 10);
+        stale.replaceServers({ makeServerEntry("a") }, 10);
         this->clock.advance(std::chrono::seconds(5));
-        fresh.replaceServers({ server("b") }, 20);
+        fresh.replaceServers({ makeServerEntry("b") }, 20);
         this->peers.publishers = { { "stale", &stale }, { "fresh", &fresh } };
         auto follower = this->follow(target);
         follower.step({ "stale", "fresh" });
@@ -139,11 +131,11 @@
         Directory waiting(this->clock);
         Directory steady(this->clock);
         Directory target(this->clock);
-        waiting.replaceServers({ server("a"), server("gone") }, 10);
-        steady.replaceServers({ server("a"), server("gone") }, 10);
+        waiting.replaceServers({ makeServerEntry("a"), makeServerEntry("gone") }, 10);
+        steady.replaceServers({ makeServerEntry("a"), makeServerEntry("gone") }, 10);
         this->clock.advance(std::chrono::seconds(5));
         waiting.registryUnreachable();
-        waiting.replaceServers({ server("a") }, 12);
+        waiting.replaceServers({ makeServerEntry("a") }, 12);
         steady.changeServers({ { "gone", std::nullopt } }, 12);
         this->peers.publishers = { { "waiting", &waiting }, { "steady", &steady } };
         auto follower = this->follow(target);
@@ -159,9 +151,9 @@
         Directory behind(this->clock);
         Directory target(this->clock);
         behind.applyConfiguration(configuration(3));
-        behind.replaceServers({ server("gone") }, 10);
+        behind.replaceServers({ makeServerEntry("gone") }, 10);
         target.applyConfiguration(configuration(5));
-        target.replaceServers({ server("a") }, 20);
+        target.replaceServers({ makeServerEntry("a") }, 20);
         this->peers.publishers["p"] = &behind;
         auto follower = this->follow(target);
         follower.step({ "p" });
