Gateway: remove what nothing reads; one piece each for error answers, forwarded fields and revisions

- Dead: ServerBook::runningAt, ConnectionPool::opened (took the lock again for each new connection), the cost of a choice, connectFailure, fields of orders for copies of engine memory that nothing sets.
- printError serves CallRunner and CallerSession; forwardedFields serves streams and whole answers; acceptRevision serves the four updates of a directory. takeFailure, which took successes too, is takeWholeAnswer.
- A call looked up its service again for each attempt, and through end() if the configuration lacked it; it is looked up once.
A connection that can't be made for lack of descriptors is logged.

--- a/lovagecross/gateway/Call.h
+++ b/lovagecross/gateway/Call.h
@@ -44,8 +44,6 @@
     Duration timeLeft { 0 };
     std::uint32_t priority = 0; // 0 is the most urgent
     std::optional<std::uint64_t> resumeAfter; // the stream goes on after this event
-    std::string memoryBackupAddress; // server that is to get copies of the run's memory; empty: none
-    std::string memoryCopy; // copy to go on from, as address and run; empty: none
 };
 
 // What a backend server's answer says beside its status and body.
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -65,8 +65,10 @@
 {
     const std::string& service = pickService(found, stableHash(this->call.requestId));
     auto spec = this->view->configuration->services.find(service);
-    if (spec != this->view->configuration->services.end() && spec->second.engine)
+    if (spec != this->view->configuration->services.end() && spec->second.engine) {
+        this->toEngine = true;
         this->tokensPerEvent = spec->second.engine->tokensPerEvent;
+    }
     if (this->view->serversOf(service).empty())
         return this->refuse(503, "the service has no server", retryLater);
     if (found.kind == CallKind::Streaming) {
@@ -159,22 +161,24 @@
 
 CallRunner::Step CallRunner::attempts(const Route& found, const std::string& service)
 {
+    ChoiceRequest request;
+    request.engine = this->toEngine;
+    request.promptTokens = this->call.promptTokens;
+    if (!this->call.session.empty() && found.kind == CallKind::Streaming)
+        request.affinityHash = stableHash(this->call.session) | 1U;
+    else if (found.sticky && !this->call.affinityKey.empty())
+        request.affinityHash = stableHash(this->call.affinityKey) | 1U;
+    const std::uint32_t mostSends = found.maxAttempts + maxSendsBeyondAttempts;
     Step step = Step::TryNext;
-    std::uint32_t mostSends = found.maxAttempts + maxSendsBeyondAttempts;
-    while (step == Step::TryNext && this->sends<mostSends&& this->timeLeft()> leastUsefulTime) {
-        ChoiceRequest request;
-        request.engine = this->view->configuration->services.find(service)->second.engine.has_value();
-        request.promptTokens = this->call.promptTokens;
-        if (!this->call.session.empty() && found.kind == CallKind::Streaming)
-            request.affinityHash = stableHash(this->call.session) | 1U;
-        else if (found.sticky && !this->call.affinityKey.empty())
-            request.affinityHash = stableHash(this->call.affinityKey) | 1U;
+    while (step == Step::TryNext && this->sends < mostSends) {
+        if (this->timeLeft() <= leastUsefulTime)
+            break;
         auto chosen = this->parts.book.choose(this->view->serversOf(service), request, this->call.prompt, this->tried);
         if (!chosen)
             break;
-        this->tried.insert(chosen->server.id);
-        this->lastServer = chosen->server.id;
-        step = this->attempt(found, chosen->server);
+        this->tried.insert(chosen->id);
+        this->lastServer = chosen->id;
+        step = this->attempt(found, *chosen);
     }
     return step;
 }
@@ -277,11 +281,11 @@
         ++this->mayHaveRun;
         return this->mayHaveRun < found.maxAttempts ? Step::TryNext : Step::GiveUp;
     }
-    return this->takeFailure(found, exchange);
+    return this->takeWholeAnswer(found, exchange);
 }
 
 // An answer that is passed on whole, once it has been read whole.
-CallRunner::Step CallRunner::takeFailure(const Route& found, ServerExchange& exchange)
+CallRunner::Step CallRunner::takeWholeAnswer(const Route& found, ServerExchange& exchange)
 {
     std::string content;
     ExchangeEnd end = exchange.readAll(content, maxBufferedAnswerBytes, this->deadline);
@@ -411,11 +415,7 @@
 
 bool CallRunner::writeStreamHead()
 {
-    HeaderList headers;
-    for (const HeaderField& field : this->streamHead->headers.fields()) {
-        if (!isConnectionField(field.name, this->streamHead->headers))
-            headers.add(field.name, field.value);
-    }
+    HeaderList headers = forwardedFields(*this->streamHead);
     headers.add("Transfer-Encoding", "chunked");
     this->addConnectionFields(headers);
     this->headWritten = true;
@@ -426,11 +426,7 @@
 
 CallRunner::Step CallRunner::writeAnswer(const ResponseHead& answer, std::string_view content)
 {
-    HeaderList headers;
-    for (const HeaderField& field : answer.headers.fields()) {
-        if (!isConnectionField(field.name, answer.headers))
-            headers.add(field.name, field.value);
-    }
+    HeaderList headers = forwardedFields(answer);
     if (this->head.method != "HEAD" && answer.status != 204 && answer.status != 304)
         headers.add("Content-Length", std::to_string(content.size()));
     this->addConnectionFields(headers);
@@ -447,13 +443,10 @@
 {
     this->parts.counters.refused.add();
     HeaderList headers = this->parts.codec.encodeAnswer(this->call, retryAfter);
-    std::string content = "{\"error\":\"" + std::string(reason) + "\"}";
-    headers.add("Content-Type", "application/json");
-    headers.add("Content-Length", std::to_string(content.size()));
     this->addConnectionFields(headers);
     this->lastFailure = this->lastFailure.empty() ? std::string(reason) : this->lastFailure;
     this->logEnd(reason, status);
-    bool written = this->write(printResponseHead(status, reasonPhrase(status), headers) + content);
+    bool written = this->write(printError(status, reason, std::move(headers)));
     return written && !this->mustClose() ? AfterCall::KeepOpen : AfterCall::Close;
 }
 
@@ -472,6 +465,16 @@
     return this->refuse(late ? 504 : 502, late ? "no answer in time" : "the server did not answer whole");
 }
 
+HeaderList CallRunner::forwardedFields(const ResponseHead& answer)
+{
+    HeaderList headers;
+    for (const HeaderField& field : answer.headers.fields()) {
+        if (!isConnectionField(field.name, answer.headers))
+            headers.add(field.name, field.value);
+    }
+    return headers;
+}
+
 void CallRunner::addConnectionFields(HeaderList& headers) const
 {
     if (this->mustClose())
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -56,7 +56,7 @@
     Step attempt(const Route& route, const ServerEntry& server);
     Step afterExchange(const Route& route, ExchangeEnd end);
     Step takeAnswer(const Route& route, ServerExchange& exchange);
-    Step takeFailure(const Route& route, ServerExchange& exchange);
+    Step takeWholeAnswer(const Route& route, ServerExchange& exchange);
     Step takeStream(const Route& route, ServerExchange& exchange);
     Step forwardEvents(EventSplitter& splitter);
     Step finishStream(const Route& route);
@@ -74,6 +74,7 @@
     AfterCall giveUp();
     Step writeAnswer(const ResponseHead& head, std::string_view content);
     bool writeStreamHead();
+    static HeaderList forwardedFields(const ResponseHead& answer);
     void addConnectionFields(HeaderList& headers) const;
     bool mustClose() const;
     bool write(std::string_view bytes);
@@ -114,6 +115,7 @@
     // Token budget
     std::optional<GrantRequest> grant;
     std::uint32_t tokensPerEvent = 1;
+    bool toEngine = false; // the call's service is served by model engines
 };
 
 } // namespace lovagecross
--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -191,16 +191,13 @@
 {
     this->parts.counters.refused.add();
     HeaderList headers;
-    std::string content = "{\"error\":\"" + std::string(reason) + "\"}";
-    headers.add("Content-Type", "application/json");
-    headers.add("Content-Length", std::to_string(content.size()));
     headers.add("Connection", "close");
     LogLine(LogLevel::Info, "call")
         .field("outcome", reason)
         .field("status", status)
         .field("peerBytes", this->stream.buffered.size())
         .write();
-    IoStatus sent = this->stream.send(printResponseHead(status, reasonPhrase(status), headers) + content,
+    IoStatus sent = this->stream.send(printError(status, reason, std::move(headers)),
         this->parts.clock.now() + refusalWriteTimeout, this->parts.clock);
     if (sent != IoStatus::Ok)
         LogLine(LogLevel::Info, "caller_left").field("status", status).write();
--- a/lovagecross/gateway/ConnectionPool.cpp
+++ b/lovagecross/gateway/ConnectionPool.cpp
@@ -1,5 +1,7 @@
 #include "lovagecross/gateway/ConnectionPool.h"
 
+#include "lovagecross/adapters/Log.h"
+
 #include <Poco/Exception.h>
 #include <algorithm>
 #include <utility>
@@ -32,14 +34,15 @@
         Poco::Net::SocketAddress address(server.address);
         ConnectResult result
             = connectTo(address, std::min(deadline, this->clock.now() + this->connectTimeout), this->clock);
-        connection.failure = result.status;
         if (result.status == IoStatus::Ok)
             connection.stream = std::make_unique<ByteStream>(result.socket);
-    } catch (const Poco::Exception&) { // a malformed address, or no descriptor is left
-        connection.failure = IoStatus::Failed;
+    } catch (const Poco::Exception& error) { // a malformed address, or no descriptor is left
+        LogLine(LogLevel::Warning, "connect_failed")
+            .field("server", server.id)
+            .field("address", server.address)
+            .field("why", error.displayText())
+            .write();
     }
-    std::lock_guard lock(this->mutex);
-    ++this->openedCount;
     return connection;
 }
 
@@ -71,12 +74,6 @@
     }
 }
 
-std::uint64_t ConnectionPool::opened() const
-{
-    std::lock_guard lock(this->mutex);
-    return this->openedCount;
-}
-
 std::unique_ptr<ByteStream> ConnectionPool::takeIdle(const std::string& serverId, Reuse reuse)
 {
     if (reuse == Reuse::No)
--- a/lovagecross/gateway/ConnectionPool.h
+++ b/lovagecross/gateway/ConnectionPool.h
@@ -30,7 +30,6 @@
 struct PooledConnection {
     std::unique_ptr<ByteStream> stream; // null: could not connect
     bool reused = false;
-    IoStatus failure = IoStatus::Ok;
 };
 
 class ConnectionPool {
@@ -46,8 +45,6 @@
     // Closes connections to servers that are not listed and those that have been idle for too long.
     void prune(const std::vector<std::string>& serverIds);
 
-    std::uint64_t opened() const;
-
 private:
     struct Idle {
         std::unique_ptr<ByteStream> stream;
@@ -61,7 +58,6 @@
     const Duration connectTimeout;
     mutable std::mutex mutex;
     std::map<std::string, std::vector<Idle>> idle; // by server id, the newest last
-    std::uint64_t openedCount = 0;
 };
 
 } // namespace lovagecross
--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -57,10 +57,9 @@
 {
     std::unique_lock lock(this->mutex);
     TimePoint now = this->clock.now();
-    if (newRevision < this->revision)
+    if (!this->acceptRevision(newRevision))
         return;
     this->registryReached(now);
-    this->revision = newRevision;
     std::set<std::string> listed;
     for (ServerEntry& entry : list) {
         listed.insert(entry.id);
@@ -81,10 +80,9 @@
 {
     std::unique_lock lock(this->mutex);
     TimePoint now = this->clock.now();
-    if (newRevision < this->revision)
+    if (!this->acceptRevision(newRevision))
         return;
     this->registryReached(now);
-    this->revision = newRevision;
     for (const ServerChange& change : changes) {
         if (change.entry) {
             this->lapsed.erase(change.id);
@@ -100,12 +98,11 @@
 void Directory::takeServers(std::vector<ServerEntry> list, std::uint64_t newRevision, Duration age)
 {
     std::unique_lock lock(this->mutex);
-    if (newRevision < this->revision)
+    if (!this->acceptRevision(newRevision))
         return;
     this->unreachable = false;
     this->known = true;
     this->lastRead = this->clock.now() - age;
-    this->revision = newRevision;
     this->servers.clear();
     this->lapsed.clear();
     for (ServerEntry& entry : list)
@@ -116,9 +113,8 @@
 void Directory::confirmServers(std::uint64_t newRevision, Duration age)
 {
     std::lock_guard lock(this->mutex);
-    if (newRevision < this->revision)
+    if (!this->acceptRevision(newRevision))
         return;
-    this->revision = newRevision;
     this->unreachable = false;
     this->lastRead = this->clock.now() - age;
 }
@@ -169,16 +165,19 @@
     this->lastRead = now;
 }
 
-bool Directory::removalsWait(TimePoint now) const
+bool Directory::acceptRevision(std::uint64_t newRevision)
 {
-    return now < this->removalsWaitUntil;
+    if (newRevision < this->revision)
+        return false;
+    this->revision = newRevision;
+    return true;
 }
 
 void Directory::removeServer(const std::string& id, TimePoint now)
 {
     // A server that was leaving is not waited for.
     bool wasReady = this->servers.at(id).state == ServerState::Ready;
-    if (wasReady && this->removalsWait(now)) {
+    if (wasReady && now < this->removalsWaitUntil) {
         this->lapsed.emplace(id, this->removalsWaitUntil);
         return;
     }
--- a/lovagecross/gateway/Directory.h
+++ b/lovagecross/gateway/Directory.h
@@ -79,7 +79,7 @@
 
 private:
     void registryReached(TimePoint now);
-    bool removalsWait(TimePoint now) const;
+    bool acceptRevision(std::uint64_t newRevision);
     void removeServer(const std::string& id, TimePoint now);
     void publish(std::unique_lock<std::mutex>& lock);
 
--- a/lovagecross/gateway/ServerBook.cpp
+++ b/lovagecross/gateway/ServerBook.cpp
@@ -41,7 +41,7 @@
     this->random ^= static_cast<std::uint64_t>(clock.now().time_since_epoch().count()) | 1U;
 }
 
-std::optional<ChosenServer> ServerBook::choose(const std::vector<ServerEntry>& servers, const ChoiceRequest& request,
+std::optional<ServerEntry> ServerBook::choose(const std::vector<ServerEntry>& servers, const ChoiceRequest& request,
     const std::vector<PromptPart>& prompt, const std::set<std::string>& tried)
 {
     std::lock_guard lock(this->mutex);
@@ -70,7 +70,7 @@
         return std::nullopt;
     const ServerEntry& server = *entries[*choice.chosen];
     ++this->recordOf(server).running;
-    return ChosenServer { server, choice.costMillis, choice.usable };
+    return server;
 }
 
 void ServerBook::finished(const ServerEntry& server, CallEnd end, Duration taken, const std::vector<PromptPart>& prompt)
@@ -98,13 +98,6 @@
     }
 }
 
-std::uint32_t ServerBook::runningAt(const std::string& serverId) const
-{
-    std::lock_guard lock(this->mutex);
-    auto found = this->records.find(serverId);
-    return found == this->records.end() ? 0 : found->second.running;
-}
-
 void ServerBook::retain(const std::set<std::string>& serverIds)
 {
     std::lock_guard lock(this->mutex);
--- a/lovagecross/gateway/ServerBook.h
+++ b/lovagecross/gateway/ServerBook.h
@@ -3,9 +3,9 @@
 // What this node has learned about each backend server from its own calls: how many run there, how fast it answers,
 // and whether it fails. Gives the inputs of `chooseServer`.
 //
-//     auto lease = book.choose(view.serversOf(service), request, tried);
+//     auto server = book.choose(view.serversOf(service), request, prompt, tried);
 //     ... send the call ...
-//     book.finished(lease->server.id, CallEnd::Answered, times);
+//     book.finished(*server, CallEnd::Answered, taken, prompt);
 //
 // What is learned is bounded and forgotten: slowness decays towards 1 within seconds without samples, suspensions end
 // by themselves, and a server that starts again begins without a past.
@@ -43,26 +43,18 @@
     { CallEnd::Abandoned, "abandoned" },
 } } };
 
-struct ChosenServer {
-    ServerEntry server;
-    double costMillis = 0;
-    std::size_t usable = 0;
-};
-
 class ServerBook {
 public:
     ServerBook(const Clock& clock, std::string ownDataCentre, ChoiceSettings choiceSettings = {});
 
     // Chooses among the ready servers that were not tried yet and counts a running call there; nullopt when there is
     // none. `prompt` is what the call would have cached.
-    std::optional<ChosenServer> choose(const std::vector<ServerEntry>& servers, const ChoiceRequest& request,
+    std::optional<ServerEntry> choose(const std::vector<ServerEntry>& servers, const ChoiceRequest& request,
         const std::vector<PromptPart>& prompt, const std::set<std::string>& tried);
 
     // Ends a running call. `taken` is the time to the first byte of content, for Answered.
     void finished(const ServerEntry& server, CallEnd end, Duration taken, const std::vector<PromptPart>& prompt);
 
-    std::uint32_t runningAt(const std::string& serverId) const;
-
     // Forgets servers that are not listed any more.
     void retain(const std::set<std::string>& serverIds);
 
--- a/lovagecross/gateway/ServerBookTest.cpp
+++ b/lovagecross/gateway/ServerBookTest.cpp
@@ -37,8 +37,8 @@
         auto chosen = book.choose(servers, {}, {}, tried);
         if (!chosen)
             return {};
-        book.finished(chosen->server, CallEnd::Abandoned, Duration(0), {});
-        return chosen->server.id;
+        book.finished(*chosen, CallEnd::Abandoned, Duration(0), {});
+        return chosen->id;
     }
 
     void fail(ServerBook& book, const ServerEntry& target, int times)
--- a/lovagecross/gateway/ServerChoice.cpp
+++ b/lovagecross/gateway/ServerChoice.cpp
@@ -86,7 +86,6 @@
             continue;
         if (pick-- == 0) {
             choice.chosen = i;
-            choice.costMillis = costs[i];
             break;
         }
     }
--- a/lovagecross/gateway/ServerChoice.h
+++ b/lovagecross/gateway/ServerChoice.h
@@ -57,7 +57,6 @@
 
 struct ServerChoice {
     std::optional<std::size_t> chosen;
-    double costMillis = 0; // of the chosen one
     std::size_t usable = 0; // servers that could be chosen
 };
 
--- a/lovagecross/gateway/ServerExchange.cpp
+++ b/lovagecross/gateway/ServerExchange.cpp
@@ -33,7 +33,6 @@
 ExchangeEnd ServerExchange::start(const ServerRequest& request, TimePoint deadline)
 {
     PooledConnection connection = this->pool.open(this->server, request.reuse, deadline);
-    this->connectStatus = connection.failure;
     if (!connection.stream)
         return ExchangeEnd::NotSent;
     this->stream = std::move(connection.stream);
--- a/lovagecross/gateway/ServerExchange.h
+++ b/lovagecross/gateway/ServerExchange.h
@@ -74,9 +74,6 @@
     // Keeps the connection for another call if nothing speaks against it; otherwise closes it.
     void release();
 
-    bool reusedConnection() const { return this->reused; }
-    IoStatus connectFailure() const { return this->connectStatus; }
-
 private:
     ExchangeEnd sendAll(std::string_view bytes, TimePoint deadline);
     ExchangeEnd readHead(const ServerRequest& request, TimePoint deadline);
@@ -95,7 +92,6 @@
     bool reused = false;
     bool sentWhole = false;
     bool streamEnded = false;
-    IoStatus connectStatus = IoStatus::Ok;
     ResponseHead answer;
     ServerRemarks answerRemarks;
     std::optional<BodyDecoder> decoder;
--- a/lovagecross/http/MessageHead.cpp
+++ b/lovagecross/http/MessageHead.cpp
@@ -277,6 +277,14 @@
     return text;
 }
 
+std::string printError(int status, std::string_view reason, HeaderList headers)
+{
+    std::string content = "{\"error\":\"" + std::string(reason) + "\"}";
+    headers.add("Content-Type", "application/json");
+    headers.add("Content-Length", std::to_string(content.size()));
+    return printResponseHead(status, reasonPhrase(status), headers) + content;
+}
+
 std::string_view reasonPhrase(int status)
 {
     return Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
--- a/lovagecross/http/MessageHead.h
+++ b/lovagecross/http/MessageHead.h
@@ -103,6 +103,9 @@
 std::string printRequestHead(std::string_view method, std::string_view target, const HeaderList& headers);
 std::string printResponseHead(int status, std::string_view reason, const HeaderList& headers);
 
+// A whole answer of this system itself: `headers`, and a JSON object with the reason, which must need no escapes.
+std::string printError(int status, std::string_view reason, HeaderList headers);
+
 // The standard phrase of a status code, such as "Not Found".
 std::string_view reasonPhrase(int status);
 
