The soak takes the platform's names from platform/; one table of refusals for both object stores

- Header fields stand in platform/HeaderNames.h, for HeaderCodec and for the soak's callers and servers; the documents of operators and servers that the soak plays stand in platform/SampleDocuments.h.
Nothing outside platform/ spells them.
- The soak and the gateway's tests print heads and chunks with lovagecross/http in place of their own.
- storeStatusOfRefusal is the part that HttpObjectStore and ObjectApi had in common; what each makes of other statuses stays as it was.

--- a/lovagecross/adapters/HttpObjectStore.cpp
+++ b/lovagecross/adapters/HttpObjectStore.cpp
@@ -3,6 +3,7 @@
 #include "lovagecross/adapters/Base64.h"
 #include "lovagecross/adapters/HttpConnection.h"
 #include "lovagecross/adapters/HttpConnectionPool.h"
+#include "lovagecross/adapters/HttpRefusals.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -25,6 +26,8 @@
 
 namespace {
 
+constexpr int statusConditionNotMet = 412;
+
 // What a call ends with when no whole answer came.
 StoreStatus statusWithoutAnswer(const HttpReply& reply, bool write)
 {
@@ -34,20 +37,9 @@
 // What an answer other than success means. A server error other than 503 says nothing about a write's effect.
 StoreStatus statusOfRefusal(int status, bool write)
 {
-    switch (status) {
-    case 404:
-        return StoreStatus::NotFound;
-    case 412:
-        return StoreStatus::Conflict;
-    case 413:
-        return StoreStatus::TooLarge;
-    case 429:
-        return StoreStatus::RateLimited;
-    case 503:
-        return StoreStatus::Unavailable;
-    default:
-        return write && (status >= 500 || status < 400) ? StoreStatus::Unknown : StoreStatus::Unavailable;
-    }
+    if (auto known = detail::storeStatusOfRefusal(status, statusConditionNotMet))
+        return *known;
+    return write && (status >= 500 || status < 400) ? StoreStatus::Unknown : StoreStatus::Unavailable;
 }
 
 bool isSuccess(int status)
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -5,6 +5,7 @@
 // Thread safety: one test at a time.
 
 #include "lovagecross/gateway/Gateway.h"
+#include "lovagecross/http/BodyDecoder.h"
 #include "lovagecross/testing/ScriptedServer.h"
 
 #include <Poco/Exception.h>
@@ -129,13 +130,6 @@
         + "\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
-inline std::string chunk(const std::string& content)
-{
-    char size[16];
-    std::snprintf(size, sizeof(size), "%zx\r\n", content.size());
-    return size + content + "\r\n";
-}
-
 inline std::string event(int id)
 {
     return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
--- a/lovagecross/gateway/GatewayStreamTest.cpp
+++ b/lovagecross/gateway/GatewayStreamTest.cpp
@@ -26,13 +26,13 @@
                 resumedAfter.push_back(after);
             }
             int start = after.empty() ? 1 : std::stoi(after) + 1;
-            connection.write(streamHead(request) + chunk(event(start)) + chunk(event(start + 1)));
+            connection.write(streamHead(request) + printChunk(event(start)) + printChunk(event(start + 1)));
             if (after.empty()) {
                 connection.write("8\r\nid: 3\nda");
                 connection.reset();
                 return false;
             }
-            return connection.write(chunk(event(start + 2)) + "0\r\n\r\n");
+            return connection.write(printChunk(event(start + 2)) + "0\r\n\r\n");
         });
         std::string answer = this->ask(post("/stream/", "r1", "x"));
         CPPUNIT_ASSERT_MESSAGE(answer, has(answer, "0\r\n\r\n"));
@@ -50,7 +50,7 @@
     void cutStreamIsNotCompletedWithoutItsEnd()
     {
         this->addServers(2, [](const ScriptedRequest& request, ScriptedConnection& connection) {
-            connection.write(streamHead(request) + chunk(event(1)));
+            connection.write(streamHead(request) + printChunk(event(1)));
             connection.reset();
             return false;
         });
@@ -63,7 +63,7 @@
     void streamWithMissingEventEnds()
     {
         this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
-            return connection.write(streamHead(request) + chunk(event(1)) + chunk(event(3)) + "0\r\n\r\n");
+            return connection.write(streamHead(request) + printChunk(event(1)) + printChunk(event(3)) + "0\r\n\r\n");
         });
         std::string answer = this->ask(post("/stream/", "r1", "x"));
         CPPUNIT_ASSERT_MESSAGE(answer, !has(answer, event(3)) && !has(answer, "0\r\n\r\n"));
@@ -76,7 +76,7 @@
         this->addServer([&](const ScriptedRequest& request, ScriptedConnection& connection) {
             std::lock_guard lock(mutex);
             bodies.push_back(request.body);
-            return connection.write(streamHead(request) + chunk(event(1) + event(2)) + "0\r\n\r\n");
+            return connection.write(streamHead(request) + printChunk(event(1) + event(2)) + "0\r\n\r\n");
         });
         CPPUNIT_ASSERT(has(this->ask(post("/turn/", "t1", "first|")), "0\r\n\r\n"));
         CPPUNIT_ASSERT(has(this->ask(post("/turn/", "t2", "second|", "Previous: t1\r\n")), "0\r\n\r\n"));
@@ -94,7 +94,7 @@
     void turnThatCanNotBeKeptHasNoEnd()
     {
         this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
-            return connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+            return connection.write(streamHead(request) + printChunk(event(1)) + "0\r\n\r\n");
         });
         this->turns->available = false;
         std::string answer = this->ask(post("/turn/", "t1", "first"));
@@ -104,7 +104,7 @@
     void spentBudgetIsRefusedWithoutRunning()
     {
         this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
-            return connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+            return connection.write(streamHead(request) + printChunk(event(1)) + "0\r\n\r\n");
         });
         const std::string fields = "Program: p\r\nBudget: 100\r\nMax: 60\r\n";
         CPPUNIT_ASSERT(has(this->ask(post("/stream/", "r1", "x", fields)), "0\r\n\r\n"));
--- a/lovagecross/soak/Callers.cpp
+++ b/lovagecross/soak/Callers.cpp
@@ -1,11 +1,13 @@
 #include "lovagecross/soak/Callers.h"
 
 #include "lovagecross/base/Hash.h"
+#include "platform/HeaderNames.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <thread>
+#include <utility>
 
 namespace lovagecross::soak {
 
@@ -125,13 +127,15 @@
     const std::string& conversation, const std::string& input, std::string& id, int budget)
 {
     id = this->newId(random);
-    std::vector<std::string> fields { "X-Lovagecross-Program-Id: " + program, "X-Lovagecross-Session-Id: " + program,
-        "X-Lovagecross-Token-Budget: " + std::to_string(budget),
-        "X-Lovagecross-Token-Usage: 10," + std::to_string(turnTokens),
-        "X-Soak-Body-Hash: " + std::to_string(stableHash(conversation + input)) };
+    HeaderList fields;
+    fields.add(platform::programField, program);
+    fields.add(platform::sessionField, program);
+    fields.add(platform::budgetField, std::to_string(budget));
+    fields.add(platform::tokensField, "10," + std::to_string(turnTokens));
+    fields.add(bodyHashField, std::to_string(stableHash(conversation + input)));
     if (!previous.empty())
-        fields.push_back("X-Lovagecross-Previous-Turn: " + previous);
-    return this->send(this->entries[random() % this->entries.size()], "/turns/", id, input, fields);
+        fields.add(platform::previousTurnField, previous);
+    return this->send(this->entries[random() % this->entries.size()], "/turns/", id, input, std::move(fields));
 }
 
 void Callers::plainCall(std::mt19937_64& random, bool safe)
@@ -158,17 +162,16 @@
 }
 
 Callers::Answer Callers::send(const std::string& address, const std::string& path, const std::string& id,
-    const std::string& body, const std::vector<std::string>& fields)
+    const std::string& body, HeaderList fields)
 {
     ++this->counts.calls;
     Answer result;
-    std::string request = "POST " + path + "x HTTP/1.1\r\nHost: soak.example\r\nX-Lovagecross-Request-Id: " + id
-        + "\r\nX-Lovagecross-Deadline-Ms: " + std::to_string(callMillis) + "\r\nConnection: close\r\n";
-    for (const std::string& field : fields) {
-        request += field;
-        request += "\r\n";
-    }
-    request += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    fields.add("Host", "soak.example");
+    fields.add(platform::requestIdField, id);
+    fields.add(platform::deadlineField, std::to_string(callMillis));
+    fields.add("Connection", "close");
+    fields.add("Content-Length", std::to_string(body.size()));
+    std::string request = printRequestHead("POST", path + 'x', fields) + body;
     std::string bytes;
     try {
         Poco::Net::StreamSocket socket;
--- a/lovagecross/soak/Callers.h
+++ b/lovagecross/soak/Callers.h
@@ -5,6 +5,7 @@
 //
 // Thread safety: `run` on several threads; the rest from any thread.
 
+#include "lovagecross/http/MessageHead.h"
 #include "lovagecross/soak/FakeServers.h"
 #include "lovagecross/soak/Findings.h"
 
@@ -55,7 +56,7 @@
         const std::string& conversation, const std::string& input, std::string& id, int budget);
     void plainCall(std::mt19937_64& random, bool safe);
     Answer send(const std::string& address, const std::string& path, const std::string& id, const std::string& body,
-        const std::vector<std::string>& fields);
+        HeaderList fields);
     Outcome classify(int status, const std::string& id);
     std::string newId(std::mt19937_64& random);
 
--- a/lovagecross/soak/FakeServers.cpp
+++ b/lovagecross/soak/FakeServers.cpp
@@ -1,6 +1,10 @@
 #include "lovagecross/soak/FakeServers.h"
 
 #include "lovagecross/base/Hash.h"
+#include "lovagecross/http/BodyDecoder.h"
+#include "lovagecross/http/MessageHead.h"
+#include "platform/HeaderNames.h"
+#include "platform/SampleDocuments.h"
 
 #include <chrono>
 #include <thread>
@@ -13,17 +17,18 @@
 constexpr auto plainWork = std::chrono::milliseconds(8);
 constexpr auto eventWork = std::chrono::milliseconds(12);
 
-std::string head(const testing::ScriptedRequest& request, const std::string& more)
+std::string requestIdOf(const testing::ScriptedRequest& request)
 {
-    return "HTTP/1.1 200 OK\r\nX-Lovagecross-Request-Id: " + request.header("X-Lovagecross-Request-Id")
-        + "\r\nX-Lovagecross-Server-Signature: soak\r\n" + more + "\r\n";
+    return request.header(std::string(platform::requestIdField));
 }
 
-std::string chunk(const std::string& content)
+std::string head(const testing::ScriptedRequest& request, std::string_view framingField, std::string_view framing)
 {
-    char size[24];
-    std::snprintf(size, sizeof(size), "%zx\r\n", content.size());
-    return size + content + "\r\n";
+    HeaderList headers;
+    headers.add(platform::requestIdField, requestIdOf(request));
+    headers.add(platform::signatureField, "soak");
+    headers.add(framingField, framing);
+    return printResponseHead(200, reasonPhrase(200), headers);
 }
 
 } // namespace
@@ -67,41 +72,43 @@
 void FakeServer::heartbeat(FakePlatform& platform, bool ready)
 {
     platform.put("servers", this->serverId,
-        "{\"service\":\"" + this->service + "\",\"address\":\"" + this->forwarder->address() + "\",\"zone\":\""
-            + this->dataCentre + "\",\"slots\":16,\"state\":\"" + (ready ? "ready" : "draining")
-            + "\",\"cold_remaining_ms\":0,\"sequence\":" + std::to_string(++this->sequence) + '}');
+        platform::printServerEntry(
+            this->service, this->forwarder->address(), this->dataCentre, ready, ++this->sequence));
 }
 
 bool FakeServer::answer(const testing::ScriptedRequest& request, testing::ScriptedConnection& connection)
 {
-    std::string requestId = request.header("X-Lovagecross-Request-Id");
-    if (request.header("X-Lovagecross-Target-Instance") != this->serverId)
-        return connection.write(
-            "HTTP/1.1 421 Misdirected\r\nX-Lovagecross-Request-Id: " + requestId + "\r\nContent-Length: 0\r\n\r\n");
+    std::string requestId = requestIdOf(request);
+    if (request.header(std::string(platform::targetServerField)) != this->serverId) {
+        HeaderList headers;
+        headers.add(platform::requestIdField, requestId);
+        headers.add("Content-Length", "0");
+        return connection.write(printResponseHead(421, reasonPhrase(421), headers));
+    }
     this->ledger.ran(requestId);
     if (this->service == "model")
         return this->stream(request, connection);
     std::this_thread::sleep_for(plainWork);
     std::string body = plainAnswer(requestId);
-    return connection.write(head(request, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body);
+    return connection.write(head(request, "Content-Length", std::to_string(body.size())) + body);
 }
 
 bool FakeServer::stream(const testing::ScriptedRequest& request, testing::ScriptedConnection& connection)
 {
-    std::string requestId = request.header("X-Lovagecross-Request-Id");
-    std::string expected = request.header("X-Soak-Body-Hash");
+    std::string requestId = requestIdOf(request);
+    std::string expected = request.header(std::string(bodyHashField));
     if (!expected.empty() && expected != std::to_string(stableHash(request.body)))
         this->findings.add("conversation", "request " + requestId + " carries another conversation: " + request.body);
-    std::string after = request.header("Last-Event-Id");
-    if (!connection.write(head(request, "Transfer-Encoding: chunked\r\n")))
+    std::string after = request.header(std::string(platform::lastEventField));
+    if (!connection.write(head(request, "Transfer-Encoding", "chunked")))
         return false;
     for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= eventsPerTurn; ++event) {
         std::this_thread::sleep_for(eventWork);
         if (!connection.write(
-                chunk("id: " + std::to_string(event) + "\ndata: " + eventData(requestId, event) + "\n\n")))
+                printChunk("id: " + std::to_string(event) + "\ndata: " + eventData(requestId, event) + "\n\n")))
             return false;
     }
-    return connection.write("0\r\n\r\n");
+    return connection.write(std::string(lastChunk));
 }
 
 } // namespace lovagecross::soak
--- a/lovagecross/soak/FakeServers.h
+++ b/lovagecross/soak/FakeServers.h
@@ -15,11 +15,13 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace lovagecross::soak {
 
 inline constexpr int eventsPerTurn = 5;
 inline constexpr int tokensPerEvent = 4;
+inline constexpr std::string_view bodyHashField = "X-Soak-Body-Hash"; // of the conversation that a turn must carry
 
 // What all servers together have run, by request id.
 class RunLedger {
--- a/lovagecross/soak/SoakMain.cpp
+++ b/lovagecross/soak/SoakMain.cpp
@@ -3,6 +3,7 @@
 
 #include "lovagecross/soak/Callers.h"
 #include "lovagecross/testing/ProcessHarness.h"
+#include "platform/SampleDocuments.h"
 
 #include <Poco/File.h>
 #include <Poco/TemporaryFile.h>
@@ -30,15 +31,6 @@
 constexpr auto diskSpacing = std::chrono::seconds(7); // a node that lost its disk has fetched everything by then
 constexpr int graceMillis = 5000;
 
-const char* const configuration = R"({"version":1,"routes":[
-{"name":"turns","host":"soak.example","path_prefix":"/turns/","kind":"streaming","timeout_ms":3000,"target_latency_ms":200,
- "service":"model","max_attempts":1,"stateful":true,"retention_s":60,"resumable":false,"target_gap_ms":200,"sticky":true},
-{"name":"safe","host":"soak.example","path_prefix":"/safe/","kind":"safe","timeout_ms":3000,"service":"tool","max_attempts":2},
-{"name":"unsafe","host":"soak.example","path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":3000,"service":"tool","max_attempts":2}],
-"services":[{"name":"model","health_path":"/h","max_connections":200,"engine":{"slots":16,"tokens_per_event":4}},
-{"name":"tool","health_path":"/h","max_connections":200}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":5000}})";
-
 // One node with the links between it and the rest.
 struct SoakNode {
     std::string name;
@@ -329,7 +321,7 @@
 
 int Soak::run()
 {
-    this->platform.put("config", "main", configuration);
+    this->platform.put("config", "main", platform::sampleConfiguration);
     this->addServers();
     for (const auto& server : this->servers)
         server->heartbeat(this->platform, true);
