Fewer messages between entry and record nodes

Cause: on the large deployment each entry node keeps a connection to each of 36 record nodes, and each side of a connection sent a heartbeat every 500 ms: 8 messages a second and connection, against about 60 requests a second at a node. A continued turn was asked of all record nodes of the data centre, a grant of all five replicas. Change: only the connecting side sends heartbeats, every 2 s; a connection on which a request waits in complete silence for 1 s is replaced, which is sooner than before. A turn is read from the near replica of its program first, then from its other replicas, then from all. A grant asks a near majority first and the others after 15 ms; its settlement goes to the replicas that were asked (to all if the roster changed since). Result: tests silentConnectionInUseIsReplacedBeforeTheHeartbeats and acceptingSideSendsNoHeartbeats fail without the mechanism; continuedTurnIsReadFromOneNearReplica and grantAsksOnlyAMajorityWhileItAnswers count requests.

--- a/lovagecross/adapters/ZmqPeers.cpp
+++ b/lovagecross/adapters/ZmqPeers.cpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <sys/eventfd.h>
@@ -139,6 +140,7 @@
     std::deque<OutgoingMessage> queue;
     std::size_t queuedBytes = 0;
     SteadyClock::time_point lastUsed;
+    std::optional<SteadyClock::time_point> waitingSince; // first request sent after the last message from the peer
 };
 
 struct AnswerQueue {
@@ -147,16 +149,10 @@
 
 void setCommonOptions(zmq::socket_t& socket, const ZmqPeersSettings& settings, const CurveKeyPair& keys)
 {
-    int heartbeatMillis = static_cast<int>(toMillis(settings.heartbeatInterval));
-    int silenceMillis = heartbeatMillis * static_cast<int>(settings.missedHeartbeats);
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::sndhwm, sendHighWaterMark);
     socket.set(zmq::sockopt::rcvhwm, receiveHighWaterMark);
     socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(settings.maxMessageBytes));
-    // A connection without traffic for this time is closed, and the connecting side opens a new one.
-    socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMillis);
-    socket.set(zmq::sockopt::heartbeat_timeout, silenceMillis);
-    socket.set(zmq::sockopt::heartbeat_ttl, silenceMillis);
     socket.set(zmq::sockopt::tcp_keepalive, 1);
     if (!keys.publicKey.empty()) {
         socket.set(zmq::sockopt::curve_publickey, keys.publicKey);
@@ -164,6 +160,17 @@
     }
 }
 
+// Only the connecting side sends heartbeats: a record node has a connection from each entry node, and heartbeats of its
+// own would double its idle traffic. The accepting side closes a connection that stays silent for the heartbeats' TTL.
+void setHeartbeats(zmq::socket_t& socket, const ZmqPeersSettings& settings)
+{
+    int intervalMillis = static_cast<int>(toMillis(settings.heartbeatInterval));
+    int silenceMillis = intervalMillis * static_cast<int>(settings.missedHeartbeats);
+    socket.set(zmq::sockopt::heartbeat_ivl, intervalMillis);
+    socket.set(zmq::sockopt::heartbeat_timeout, silenceMillis);
+    socket.set(zmq::sockopt::heartbeat_ttl, intervalMillis + silenceMillis);
+}
+
 } // namespace
 
 class ZmqPeers::Impl {
@@ -181,6 +188,7 @@
         , unanswered(counters.counter("peers.unanswered"))
         , rejected(counters.counter("peers.rejected"))
         , dropped(counters.counter("peers.dropped"))
+        , replaced(counters.counter("peers.replaced"))
         , sent(counters.counter("peers.messagesSent"))
         , sentBytes(counters.counter("peers.bytesSent"))
         , received(counters.counter("peers.messagesReceived"))
@@ -273,48 +281,52 @@
     }
 
     std::vector<PeerResult> requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
-        Duration timeout, const EnoughAnswers& enough)
+        const Fanout& fanout, const EnoughAnswers& enough)
     {
-        struct CompletionCount {
-            std::mutex mutex;
-            std::condition_variable changed;
-            std::size_t ended = 0;
-        };
         auto completion = std::make_shared<CompletionCount>();
         std::vector<std::shared_ptr<PendingAnswer>> waiting;
         std::vector<RequestId> ids;
-        for (const std::string& address : addresses) {
-            waiting.push_back(std::make_shared<PendingAnswer>(
-                address, isForward(request), this->settings.maxAnswerBytes, this->answerBudget));
-            waiting.back()->onEnd([completion] {
-                std::lock_guard lock(completion->mutex);
-                ++completion->ended;
-                completion->changed.notify_all();
-            });
-            ids.push_back(this->nextId());
-            std::string bytes = detail::encodeEnvelope({ ids.back(), false, request });
-            if (!this->submit(address, ids.back(), std::move(bytes), waiting.back(), purposeOf(request)))
-                waiting.back()->finish(PeerStatus::Rejected);
-        }
-        auto until = SteadyClock::now() + timeout;
-        std::vector<PeerResult> results(addresses.size());
+        auto askUpTo = [&](std::size_t count) {
+            while (waiting.size() < std::min(count, addresses.size())) {
+                const std::string& address = addresses[waiting.size()];
+                ids.push_back(this->nextId());
+                waiting.push_back(this->submitCounted(address, ids.back(), request, completion));
+            }
+        };
+        auto start = SteadyClock::now();
+        auto until = start + fanout.timeout;
+        auto firstWaveUntil = std::min(until, start + fanout.firstWaveTimeout);
+        askUpTo(fanout.firstWave);
+        std::vector<PeerResult> results(addresses.size(), { PeerStatus::Rejected, {} });
         std::vector<const PeerResult*> arrived(addresses.size(), nullptr);
         std::size_t seen = 0;
         for (;;) {
+            bool allOk = true;
             for (std::size_t i = 0; i < waiting.size(); ++i) {
-                if (arrived[i] != nullptr || !waiting[i]->isDone())
-                    continue;
-                results[i] = this->resultOf(*waiting[i], request);
-                arrived[i] = &results[i];
-                ++seen;
+                if (arrived[i] == nullptr && waiting[i]->isDone()) {
+                    results[i] = this->resultOf(*waiting[i], request);
+                    arrived[i] = &results[i];
+                    ++seen;
+                }
+                allOk = allOk && (arrived[i] == nullptr || arrived[i]->status == PeerStatus::Ok);
             }
-            if (seen == waiting.size() || enough(arrived))
+            if (seen == addresses.size() || enough(arrived))
                 break;
+            bool othersLeft = waiting.size() < addresses.size();
+            if (othersLeft && (!allOk || seen == waiting.size() || SteadyClock::now() >= firstWaveUntil)) {
+                askUpTo(addresses.size());
+                continue;
+            }
             std::unique_lock lock(completion->mutex);
-            bool more = completion->changed.wait_until(lock, until, [&] { return completion->ended > seen; });
-            if (!more)
+            bool more = completion->changed.wait_until(
+                lock, othersLeft ? firstWaveUntil : until, [&] { return completion->ended > seen; });
+            if (!more && !othersLeft)
                 break;
         }
+        for (std::size_t i = 0; i < waiting.size(); ++i) {
+            if (arrived[i] == nullptr)
+                results[i].status = PeerStatus::NoAnswer;
+        }
         this->detachUnanswered(ids, arrived);
         return results;
     }
@@ -338,6 +350,29 @@
     std::string bound;
 
 private:
+    // Number of requests of one `requestAll` that have ended.
+    struct CompletionCount {
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::size_t ended = 0;
+    };
+
+    std::shared_ptr<PendingAnswer> submitCounted(const std::string& address, RequestId id, const PeerRequest& request,
+        const std::shared_ptr<CompletionCount>& completion)
+    {
+        auto waiting = std::make_shared<PendingAnswer>(
+            address, isForward(request), this->settings.maxAnswerBytes, this->answerBudget);
+        waiting->onEnd([completion] {
+            std::lock_guard lock(completion->mutex);
+            ++completion->ended;
+            completion->changed.notify_all();
+        });
+        std::string bytes = detail::encodeEnvelope({ id, false, request });
+        if (!this->submit(address, id, std::move(bytes), waiting, purposeOf(request)))
+            waiting->finish(PeerStatus::Rejected);
+        return waiting;
+    }
+
     // Called when `requestAll` returns. Requests without an answer stay open for a while, so that they are still sent
     // and answered: their peer may hold a copy that is needed later.
     void detachUnanswered(const std::vector<RequestId>& ids, const std::vector<const PeerResult*>& arrived)
@@ -557,26 +592,53 @@
             return &found->second;
         if (this->connections.size() >= this->settings.maxPeers)
             return nullptr;
+        Connection connection;
+        if (!this->openSocket(address, connection))
+            return nullptr;
+        connection.lastUsed = SteadyClock::now();
+        return &this->connections.emplace(address, std::move(connection)).first->second;
+    }
+
+    bool openSocket(const std::string& address, Connection& connection)
+    {
         try {
-            Connection connection;
-            connection.socket = zmq::socket_t(this->context, zmq::socket_type::dealer);
-            setCommonOptions(connection.socket, this->settings, this->keys);
+            zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+            setCommonOptions(socket, this->settings, this->keys);
+            setHeartbeats(socket, this->settings);
             if (!this->keys.publicKey.empty())
-                connection.socket.set(zmq::sockopt::curve_serverkey, this->keys.publicKey);
+                socket.set(zmq::sockopt::curve_serverkey, this->keys.publicKey);
             // Keeps messages in `Connection::queue` until the connection is established.
-            connection.socket.set(zmq::sockopt::immediate, true);
-            connection.socket.set(zmq::sockopt::reconnect_ivl, reconnectMillis);
-            connection.socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectMillis);
-            connection.socket.set(zmq::sockopt::connect_timeout, maxReconnectMillis);
-            connection.socket.connect("tcp://" + address);
-            connection.lastUsed = SteadyClock::now();
-            return &this->connections.emplace(address, std::move(connection)).first->second;
+            socket.set(zmq::sockopt::immediate, true);
+            socket.set(zmq::sockopt::reconnect_ivl, reconnectMillis);
+            socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectMillis);
+            socket.set(zmq::sockopt::connect_timeout, maxReconnectMillis);
+            socket.connect("tcp://" + address);
+            connection.socket = std::move(socket);
+            return true;
         } catch (const zmq::error_t& error) {
             LogLine(LogLevel::Warning, "peer_connect").field("address", address).field("error", error.what()).write();
-            return nullptr;
+            return false;
         }
     }
 
+    // Replaces the connection if a request on it has been waiting in complete silence. Unsent requests stay queued.
+    void replaceIfSilent(const std::string& address, Connection& connection, SteadyClock::time_point now)
+    {
+        if (this->settings.silenceTimeout == Duration(0) || !connection.waitingSince)
+            return;
+        Duration waited = now - *connection.waitingSince;
+        if (waited < this->settings.silenceTimeout)
+            return;
+        connection.waitingSince.reset();
+        bool opened = this->openSocket(address, connection);
+        this->replaced.add();
+        LogLine(LogLevel::Info, "peer_connection_replaced")
+            .field("address", address)
+            .field("silentMs", toMillis(waited))
+            .field("opened", opened)
+            .write();
+    }
+
     std::shared_ptr<PendingAnswer> findPending(std::uint64_t number)
     {
         std::lock_guard lock(this->mutex);
@@ -621,6 +683,8 @@
             return result == SendResult::RequestEnded;
         this->countSent(next);
         connection.lastUsed = SteadyClock::now();
+        if (next.expectsAnswer && !connection.waitingSince)
+            connection.waitingSince = connection.lastUsed;
         return true;
     }
 
@@ -638,6 +702,7 @@
             if (!connection.socket.recv(message, zmq::recv_flags::dontwait))
                 return;
             connection.lastUsed = SteadyClock::now();
+            connection.waitingSince.reset();
             bool oneFrame = !message.more();
             while (message.more()) {
                 if (!connection.socket.recv(message, zmq::recv_flags::dontwait))
@@ -927,6 +992,7 @@
         std::erase_if(this->requesters, [](const auto& requester) { return requester.second.expired(); });
         for (auto it = this->connections.begin(); it != this->connections.end();) {
             this->dropExpired(it->second, now);
+            this->replaceIfSilent(it->first, it->second, now);
             bool idle = it->second.queue.empty() && now - it->second.lastUsed > this->settings.idleConnectionTimeout;
             it = idle ? this->connections.erase(it) : std::next(it);
         }
@@ -991,6 +1057,7 @@
     Counter& unanswered;
     Counter& rejected;
     Counter& dropped;
+    Counter& replaced;
     Counter& sent;
     Counter& sentBytes;
     std::array<Counter*, sentBytesCounters.size()> sentBytesByPurpose {};
@@ -1027,9 +1094,9 @@
 }
 
 std::vector<PeerResult> ZmqPeers::requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
-    Duration timeout, const EnoughAnswers& enough)
+    const Fanout& fanout, const EnoughAnswers& enough)
 {
-    return this->impl->requestAll(addresses, request, timeout, enough);
+    return this->impl->requestAll(addresses, request, fanout, enough);
 }
 
 void ZmqPeers::notify(const std::string& address, const PeerRequest& request)
--- a/lovagecross/adapters/ZmqPeers.h
+++ b/lovagecross/adapters/ZmqPeers.h
@@ -31,6 +31,9 @@
     std::string keyFile; // shared by all nodes, at least 32 bytes; empty: no authentication and no encryption
     Duration heartbeatInterval = std::chrono::seconds(1);
     std::uint32_t missedHeartbeats = 3; // after so many in a row, the peer of an open forward counts as lost
+    // A connection on which a request waits and nothing has arrived for this time is replaced; 0: only the heartbeats
+    // detect it. Must exceed the time that a handler may take.
+    Duration silenceTimeout { 0 };
     std::size_t maxMessageBytes = 1024 * 1024 + 64 * 1024; // an object of 1 MB plus its header
     std::size_t maxAnswerBytes = 32 * 1024 * 1024; // answers larger than one message are sent in parts
     std::size_t maxRequestsInFlight = 4096;
@@ -68,7 +71,7 @@
     PeerResult request(
         const std::string& address, const PeerRequest& request, Duration timeout, const ChunkSink& sink) override;
     std::vector<PeerResult> requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
-        Duration timeout, const EnoughAnswers& enough) override;
+        const Fanout& fanout, const EnoughAnswers& enough) override;
     void notify(const std::string& address, const PeerRequest& request) override;
     void failForwardsTo(const std::string& address) override;
 
--- a/lovagecross/adapters/ZmqPeersTest.cpp
+++ b/lovagecross/adapters/ZmqPeersTest.cpp
@@ -185,6 +185,9 @@
     void silence() { this->silenced = this->opened.load(); }
     int connections() const { return this->opened; }
 
+    // Returns the number of reads that returned bytes from the target.
+    int readsFromTarget() const { return this->reads; }
+
 private:
     using StreamSocket = Poco::Net::StreamSocket;
 
@@ -198,23 +201,27 @@
             }
             for (std::size_t i = static_cast<std::size_t>(this->silenced); i < this->pairs.size(); ++i) {
                 pass(this->pairs[i].first, this->pairs[i].second);
-                pass(this->pairs[i].second, this->pairs[i].first);
+                this->reads += pass(this->pairs[i].second, this->pairs[i].first);
             }
         }
     }
 
-    static void pass(StreamSocket& from, StreamSocket& to)
+    // Returns the number of reads that returned bytes.
+    static int pass(StreamSocket& from, StreamSocket& to)
     {
         char buffer[4096];
+        int reads = 0;
         try {
             while (from.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
                 int count = from.receiveBytes(buffer, sizeof(buffer));
                 if (count <= 0)
-                    return;
+                    return reads;
+                ++reads;
                 to.sendBytes(buffer, count);
             }
         } catch (const Poco::Exception&) { // one side has closed the connection
         }
+        return reads;
     }
 
     const std::string target;
@@ -222,6 +229,7 @@
     std::vector<std::pair<StreamSocket, StreamSocket>> pairs;
     std::atomic<int> opened { 0 };
     std::atomic<int> silenced { 0 };
+    std::atomic<int> reads { 0 };
     std::atomic<bool> stopping { false };
     std::thread thread;
 };
@@ -258,6 +266,8 @@
     CPPUNIT_TEST(failingHandlerGivesNoAnswer);
     CPPUNIT_TEST(restartedPeerIsReachedAgain);
     CPPUNIT_TEST(silentConnectionIsReplaced);
+    CPPUNIT_TEST(silentConnectionInUseIsReplacedBeforeTheHeartbeats);
+    CPPUNIT_TEST(acceptingSideSendsNoHeartbeats);
     CPPUNIT_TEST(onlyHoldersOfTheKeyAreServed);
     CPPUNIT_TEST(startReportsWhatIsWrong);
     CPPUNIT_TEST(stopDeliversFinishedAnswers);
@@ -595,6 +605,39 @@
         CPPUNIT_ASSERT(relay.connections() > before);
     }
 
+    // Guards against requests that are lost on a silent connection until the next heartbeat, which may be seconds away.
+    void silentConnectionInUseIsReplacedBeforeTheHeartbeats()
+    {
+        ZmqPeersSettings settings;
+        settings.heartbeatInterval = std::chrono::minutes(1);
+        settings.silenceTimeout = std::chrono::milliseconds(300);
+        Node client(settings);
+        Node server(settings);
+        SilencingRelay relay(server.address());
+        auto ask = [&] {
+            return client.peers->request(relay.address(), ConfigFetch {}, std::chrono::milliseconds(500), {});
+        };
+        while (ask().status != PeerStatus::Ok) { }
+        relay.silence();
+        int attempts = 0;
+        while (ask().status != PeerStatus::Ok && ++attempts < 40) { }
+        CPPUNIT_ASSERT(attempts < 40);
+        CPPUNIT_ASSERT(client.count("peers.replaced") > 0);
+    }
+
+    // Guards against idle traffic that doubles with heartbeats from both sides of each connection.
+    void acceptingSideSendsNoHeartbeats()
+    {
+        Node client(shortHeartbeats());
+        Node server(shortHeartbeats());
+        SilencingRelay relay(server.address());
+        while (client.peers->request(relay.address(), ConfigFetch {}, longTimeout, {}).status != PeerStatus::Ok) { }
+        int before = relay.readsFromTarget();
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        constexpr int mostReplies = 21; // one to each heartbeat of the client
+        CPPUNIT_ASSERT(relay.readsFromTarget() - before <= mostReplies);
+    }
+
     void onlyHoldersOfTheKeyAreServed()
     {
         ZmqPeersSettings shared;
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -40,6 +40,11 @@
 // A record node that reads the registry from the platform asks the other record nodes once its copy is older than this.
 constexpr Duration maxOwnRegistryAge = milliseconds(900);
 constexpr Duration registryAgeCheckInterval = milliseconds(300);
+// A fleet has a connection from each entry node to each record node, so idle ones are checked rarely; a connection that
+// goes silent while it is in use is noticed sooner.
+constexpr Duration peerHeartbeatInterval = std::chrono::seconds(2);
+constexpr std::uint32_t missedPeerHeartbeats = 1;
+constexpr Duration peerSilenceTimeout = std::chrono::seconds(1);
 constexpr Duration poolPruneInterval = std::chrono::seconds(1);
 constexpr int statusListenerThreads = 4;
 constexpr std::size_t connectionsPerMegabyte = 6;
@@ -73,7 +78,9 @@
     peers.bindAddress = settings.peerAddress;
     peers.maxQueuedBytes = std::size_t(settings.memoryMegabytes) * 1024 * 1024 / 8;
     peers.maxQueuedBytesPerPeer = peers.maxQueuedBytes / 2;
-    peers.heartbeatInterval = milliseconds(500);
+    peers.heartbeatInterval = peerHeartbeatInterval;
+    peers.missedHeartbeats = missedPeerHeartbeats;
+    peers.silenceTimeout = peerSilenceTimeout;
     return peers;
 }
 
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -115,7 +115,8 @@
 std::optional<AfterCall> CallRunner::loadConversation()
 {
     TimePoint start = this->parts.clock.now();
-    Conversation conversation = this->parts.turns.readConversation(this->call.previousTurn, this->deadline);
+    Conversation conversation
+        = this->parts.turns.readConversation(this->call.previousTurn, this->call.program, this->deadline);
     this->parts.counters.conversationRead.record(this->parts.clock.now() - start);
     switch (conversation.status) {
     case ConversationStatus::Found:
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -80,7 +80,7 @@
 
 class FakeTurns final : public TurnStore, public TokenBudgets {
 public:
-    Conversation readConversation(const std::string& id, TimePoint) override
+    Conversation readConversation(const std::string& id, const std::string&, TimePoint) override
     {
         std::lock_guard lock(this->mutex);
         if (!this->available)
--- a/lovagecross/gateway/Turns.h
+++ b/lovagecross/gateway/Turns.h
@@ -39,8 +39,9 @@
 public:
     virtual ~TurnStore() = default;
 
-    // Reads the conversation up to and including the turn `id`.
-    virtual Conversation readConversation(const std::string& id, TimePoint deadline) = 0;
+    // Reads the conversation up to and including the turn `id`. `program` is the program that continues it, usually
+    // also that of the turn itself.
+    virtual Conversation readConversation(const std::string& id, const std::string& program, TimePoint deadline) = 0;
 
     // Stores a turn. Returns true once the record survives the failures that the deployment tolerates.
     virtual bool keep(const TurnRecord& record, TimePoint deadline) = 0;
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -166,7 +167,7 @@
 enum class PeerStatus {
     Ok,
     NoAnswer, // no answer arrived in time, or the peer's heartbeats stopped
-    Rejected, // malformed, too large, or not authenticated; not executed
+    Rejected, // malformed, too large, not authenticated, or not sent; not executed
 };
 
 struct PeerResult {
@@ -178,6 +179,13 @@
 // Returns true to end the wait.
 using EnoughAnswers = std::function<bool(const std::vector<const PeerResult*>& answers)>;
 
+// Which peers of `PeerClient::requestAll` are asked at once, and when it asks the others.
+struct Fanout {
+    Duration timeout { 0 }; // for all answers
+    std::size_t firstWave = std::numeric_limits<std::size_t>::max(); // number of addresses, from the first one
+    Duration firstWaveTimeout { 0 }; // the others are asked after this time, or once the first wave alone can't suffice
+};
+
 // Receives streamed text. Returns false to cancel the request at the peer.
 using ChunkSink = std::function<bool(std::string_view text)>;
 
@@ -192,9 +200,9 @@
         = 0;
 
     // Sends one request to several peers concurrently and waits until `enough` returns true, all peers have answered,
-    // or the timeout has passed. The results are in the order of the addresses.
+    // or the timeout has passed. The results are in the order of the addresses; a peer that was not asked has Rejected.
     virtual std::vector<PeerResult> requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
-        Duration timeout, const EnoughAnswers& enough)
+        const Fanout& fanout, const EnoughAnswers& enough)
         = 0;
 
     // Sends without waiting for an answer.
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <utility>
 
 namespace lovagecross {
@@ -16,6 +17,7 @@
 constexpr Duration rosterRetryInterval = milliseconds(300); // while no roster is known
 constexpr Duration inspectTimeout = milliseconds(500);
 constexpr Duration voteTimeout = milliseconds(300); // for one round; a lost packet is retransmitted after 200 ms
+constexpr Duration firstVotesTimeout = milliseconds(15); // for a near majority, before the other replicas vote too
 constexpr Duration platformVoteTimeout = milliseconds(100); // for a round after which the platform can vote
 constexpr Duration shortPlatformVoteTimeout = milliseconds(15); // same, shortly after a platform vote was needed
 constexpr Duration platformBackoff = milliseconds(300); // after a failed vote of the platform
@@ -25,7 +27,7 @@
 constexpr Duration probeInterval = milliseconds(150); // while no majority answers
 constexpr Duration storeTimeout = milliseconds(300); // before the platform is asked to keep the turn
 constexpr Duration maxKeepDuration = milliseconds(1500);
-constexpr Duration localReadTimeout = milliseconds(120);
+constexpr Duration replicaReadTimeout = milliseconds(120); // before other members are asked too
 constexpr Duration readTimeout = milliseconds(500);
 constexpr Duration retryInterval = milliseconds(20);
 constexpr std::size_t maxChainTurns = 4096;
@@ -129,7 +131,7 @@
         members.push_back(&member);
     bool platformCanVote = platformVotes(roster, this->settings.tolerance);
     std::size_t majority = majorityOf(members.size()) - (platformCanVote ? 1 : 0);
-    Answers answers = this->askReplicas(roster, members, InspectRequest {}, probeTimeout,
+    Answers answers = this->askReplicas(roster, members, InspectRequest {}, Fanout { probeTimeout },
         [majority](const Answers& answersSoFar) { return answersSoFar.accepted.size() >= majority; });
     bool enough = answers.accepted.size() >= majority;
     this->recordRoundResult(answers, enough, true);
@@ -145,8 +147,8 @@
         if (seed != this->settings.ownAddress)
             seeds.push_back(seed);
     }
-    auto results = this->parts.peers.requestAll(
-        seeds, RecordCall { encodeRecordRequest(InspectRequest {}) }, probeTimeout, [](const auto&) { return false; });
+    auto results = this->parts.peers.requestAll(seeds, RecordCall { encodeRecordRequest(InspectRequest {}) },
+        Fanout { probeTimeout }, [](const auto&) { return false; });
     PeerReachability reported;
     reported.asked = seeds.size();
     Roster newest = known;
@@ -197,7 +199,7 @@
 bool RecordClient::requestRoster(const std::vector<std::string>& addresses)
 {
     auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(InspectRequest {}) },
-        inspectTimeout, [](const auto&) { return false; });
+        Fanout { inspectTimeout }, [](const auto&) { return false; });
     bool received = false;
     for (const PeerResult& result : results) {
         auto response = recordResponseOf(result);
@@ -242,7 +244,7 @@
 }
 
 RecordClient::Answers RecordClient::askReplicas(const Roster& known, const std::vector<const RosterMember*>& replicas,
-    const RecordRequest& request, Duration timeout, const std::function<bool(const Answers&)>& enough)
+    const RecordRequest& request, const Fanout& fanout, const std::function<bool(const Answers&)>& enough)
 {
     std::vector<std::string> addresses;
     addresses.reserve(replicas.size());
@@ -261,11 +263,15 @@
         answers.epochOutdated = answers.newestRoster.epoch > known.epoch;
         return answers.epochOutdated || enough(answers);
     };
-    auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(request) }, timeout, count);
+    auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(request) }, fanout, count);
     std::vector<const PeerResult*> arrived;
     arrived.reserve(results.size());
-    for (const PeerResult& result : results)
+    for (const PeerResult& result : results) {
         arrived.push_back(result.status == PeerStatus::Ok ? &result : nullptr);
+        bool beyondFirstWave = arrived.size() > fanout.firstWave;
+        answers.askedBeyondFirstWave
+            = answers.askedBeyondFirstWave || (beyondFirstWave && result.status != PeerStatus::Rejected);
+    }
     count(arrived);
     if (answers.epochOutdated)
         this->adoptIfNewer(answers.newestRoster);
@@ -309,17 +315,18 @@
     bool sent = false;
     while (this->reachability() != Reachability::Partitioned && this->parts.clock.now() < until) {
         Roster roster = this->roster();
-        auto replicas = replicasOf(roster, request.program, this->settings.tolerance);
+        auto replicas = this->replicasNearFirst(roster, request.program);
         std::size_t majority = majorityOf(replicas.size());
         if (replicas.empty())
             break;
-        Duration timeout = this->voteRoundTimeout(roster, until);
-        sent = true;
+        Fanout fanout { this->voteRoundTimeout(roster, until), majority, firstVotesTimeout };
         Answers answers
-            = this->askReplicas(roster, replicas, ReserveRequest { roster.epoch, reservation, request.budget }, timeout,
+            = this->askReplicas(roster, replicas, ReserveRequest { roster.epoch, reservation, request.budget }, fanout,
                 [majority](const Answers& answersSoFar) {
                     return answersSoFar.accepted.size() >= majority || answersSoFar.exhausted;
                 });
+        bool firstWaveOnly = !sent && !answers.askedBeyondFirstWave;
+        sent = true;
         ProgramReservations others;
         for (const RecordResponse& response : answers.responses) {
             for (const Reservation& other : response.reservations)
@@ -333,8 +340,11 @@
         }
         if (answers.answered >= majority)
             this->recordRoundResult(answers, true, false);
-        if (hasMajority)
+        if (hasMajority) {
+            if (firstWaveOnly)
+                this->addFirstWaveGrant(request.requestId, roster.epoch);
             return { GrantStatus::Granted, used, Duration(0) };
+        }
         if (answers.epochOutdated)
             continue;
         PlatformVote vote = this->requestPlatformVote(roster, answers, others, reservation, request.budget);
@@ -404,10 +414,38 @@
         expiryOf(request.retention, this->parts.clock) };
     RecordCall call { encodeRecordRequest(SettleRequest { std::move(reservation) }) };
     Roster roster = this->roster();
-    for (const RosterMember* replica : replicasOf(roster, request.program, this->settings.tolerance))
+    auto replicas = this->replicasNearFirst(roster, request.program);
+    if (this->takeFirstWaveGrant(request.requestId) == roster.epoch)
+        replicas.resize(majorityOf(replicas.size()));
+    for (const RosterMember* replica : replicas)
         this->parts.peers.notify(replica->address, call);
 }
 
+// Returns the replicas of a program, those in the own data centre first. A majority of them is asked for a vote before
+// the others are.
+std::vector<const RosterMember*> RecordClient::replicasNearFirst(const Roster& known, const std::string& program) const
+{
+    auto replicas = replicasOf(known, program, this->settings.tolerance);
+    std::stable_partition(replicas.begin(), replicas.end(),
+        [this](const RosterMember* member) { return member->dataCentre == this->settings.dataCentre; });
+    return replicas;
+}
+
+void RecordClient::addFirstWaveGrant(const std::string& requestId, std::uint64_t epoch)
+{
+    std::lock_guard lock(this->mutex);
+    this->firstWaveGrants[requestId] = epoch;
+}
+
+// Returns the epoch of a grant that only the first majority of replicas was asked for, and forgets it. Returns 0 if
+// other replicas may have the reservation too.
+std::uint64_t RecordClient::takeFirstWaveGrant(const std::string& requestId)
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->firstWaveGrants.extract(requestId);
+    return found.empty() ? 0 : found.mapped();
+}
+
 // --- Kept turns
 
 bool RecordClient::keep(const TurnRecord& record, TimePoint deadline)
@@ -423,7 +461,8 @@
             return enoughCopies(answersSoFar.accepted, this->settings.tolerance);
         };
         Duration timeout = std::min<Duration>(until - this->parts.clock.now(), storeTimeout);
-        Answers answers = this->askReplicas(roster, replicas, StoreTurnRequest { roster.epoch, turn }, timeout, enough);
+        Answers answers
+            = this->askReplicas(roster, replicas, StoreTurnRequest { roster.epoch, turn }, Fanout { timeout }, enough);
         kept = enough(answers);
         if (answers.answered < majorityOf(replicas.size()))
             this->recordRoundResult(answers, false, false);
@@ -439,7 +478,7 @@
     return kept;
 }
 
-Conversation RecordClient::readConversation(const std::string& id, TimePoint deadline)
+Conversation RecordClient::readConversation(const std::string& id, const std::string& program, TimePoint deadline)
 {
     Conversation result;
     std::vector<std::string> texts; // newest first
@@ -460,7 +499,7 @@
             continue;
         }
         bool absent = false;
-        if (this->readMissing(next, deadline, fetched, absent))
+        if (this->readMissing(next, program, deadline, fetched, absent))
             continue;
         // Only the requested turn may be reported as absent. A missing earlier turn is a copy that is currently
         // unreachable.
@@ -481,23 +520,26 @@
     return result;
 }
 
-// Reads the turn `id` and the turns that it continues, first from members in the own data centre, then from all
-// members, then from the platform. Sets `absent` if every possible holder reports that it does not have the turn.
-bool RecordClient::readMissing(
-    const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent)
+// Reads the turn `id` and the turns that it continues, first from the replicas of `program`, the near ones before the
+// others, then from all members, then from the platform. Sets `absent` if every possible holder reports that it does
+// not have the turn.
+bool RecordClient::readMissing(const std::string& id, const std::string& program, TimePoint deadline,
+    std::map<std::string, StoredTurn>& found, bool& absent)
 {
     Roster roster = this->roster();
-    std::vector<const RosterMember*> nearMembers;
+    auto replicas = replicasOf(roster, program, this->settings.tolerance);
+    std::vector<const RosterMember*> nearReplicas;
+    std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(nearReplicas),
+        [this](const RosterMember* member) { return member->dataCentre == this->settings.dataCentre; });
+    for (const auto& members : { nearReplicas, replicas }) {
+        if (!members.empty())
+            this->readFrom(roster, members, id, replicaReadTimeout, found);
+        if (found.count(id) > 0)
+            return true;
+    }
     std::vector<const RosterMember*> all;
-    for (const RosterMember& member : roster.members) {
+    for (const RosterMember& member : roster.members)
         all.push_back(&member);
-        if (member.dataCentre == this->settings.dataCentre)
-            nearMembers.push_back(&member);
-    }
-    if (!nearMembers.empty())
-        this->readFrom(roster, nearMembers, id, localReadTimeout, found);
-    if (found.count(id) > 0)
-        return true;
     Duration timeout = std::min<Duration>(deadline - this->parts.clock.now(), readTimeout);
     Answers answers = this->readFrom(roster, all, id, timeout, found);
     if (found.count(id) > 0)
@@ -517,7 +559,7 @@
     const std::string& id, Duration timeout, std::map<std::string, StoredTurn>& found)
 {
     auto anyFound = [](const Answers& answersSoFar) { return !answersSoFar.accepted.empty(); };
-    Answers answers = this->askReplicas(known, members, ReadChainRequest { id }, timeout, anyFound);
+    Answers answers = this->askReplicas(known, members, ReadChainRequest { id }, Fanout { timeout }, anyFound);
     for (const RecordResponse& response : answers.responses) {
         for (const StoredTurn& turn : response.turns)
             found.emplace(turn.id, turn);
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -51,7 +51,7 @@
     void start();
     void stop();
 
-    Conversation readConversation(const std::string& id, TimePoint deadline) override;
+    Conversation readConversation(const std::string& id, const std::string& program, TimePoint deadline) override;
     bool keep(const TurnRecord& record, TimePoint deadline) override;
     Grant reserve(const GrantRequest& request, TimePoint deadline) override;
     void settle(const GrantRequest& request, std::uint64_t usedTokens) override;
@@ -71,11 +71,12 @@
         std::size_t complete = 0; // responses from members that hold all records of their groups
         bool exhausted = false;
         bool epochOutdated = false;
+        bool askedBeyondFirstWave = false;
         Roster newestRoster;
     };
 
     Answers askReplicas(const Roster& known, const std::vector<const RosterMember*>& replicas,
-        const RecordRequest& request, Duration timeout, const std::function<bool(const Answers&)>& enough);
+        const RecordRequest& request, const Fanout& fanout, const std::function<bool(const Answers&)>& enough);
     static void addAnswer(Answers& answers, const RosterMember& member, const PeerResult& result);
     void recordRoundResult(const Answers& answers, bool enough, bool isProbe);
     Duration callerRetryDelay() const;
@@ -84,7 +85,11 @@
     Duration voteRoundTimeout(const Roster& known, TimePoint until) const;
     PlatformVote requestPlatformVote(const Roster& known, const Answers& answers, const ProgramReservations& others,
         const Reservation& reservation, std::uint64_t budget);
-    bool readMissing(const std::string& id, TimePoint deadline, std::map<std::string, StoredTurn>& found, bool& absent);
+    std::vector<const RosterMember*> replicasNearFirst(const Roster& known, const std::string& program) const;
+    void addFirstWaveGrant(const std::string& requestId, std::uint64_t epoch);
+    std::uint64_t takeFirstWaveGrant(const std::string& requestId);
+    bool readMissing(const std::string& id, const std::string& program, TimePoint deadline,
+        std::map<std::string, StoredTurn>& found, bool& absent);
     Answers readFrom(const Roster& known, const std::vector<const RosterMember*>& members, const std::string& id,
         Duration timeout, std::map<std::string, StoredTurn>& found);
     void adoptIfNewer(const Roster& roster);
@@ -102,6 +107,7 @@
     TimePoint nextRosterRefresh;
     TimePoint platformBackoffUntil; // no vote is requested from the platform before this time
     TimePoint shortTimeoutUntil; // until then, the platform is asked sooner because a replica did not respond
+    std::map<std::string, std::uint64_t> firstWaveGrants; // epoch by request id, until the grant is settled
     std::condition_variable wake;
     bool stopping = false;
     std::thread thread;
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -232,7 +232,7 @@
     for (const RosterMember& member : roster.members)
         addresses.push_back(member.address);
     auto results = this->parts.peers.requestAll(addresses, RecordCall { encodeRecordRequest(InspectRequest {}) },
-        inspectTimeout, [](const auto&) { return false; });
+        Fanout { inspectTimeout }, [](const auto&) { return false; });
     std::vector<std::string> unreachable;
     for (std::size_t i = 0; i < results.size(); ++i) {
         if (results[i].status != PeerStatus::Ok && roster.members[i].node != this->settings.node)
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -19,6 +19,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr const char* clientAddress = "10.0.0.1:9000";
+
 // Delivers requests to running nodes unless the sender or the receiver is partitioned.
 class LoopbackNetwork {
 public:
@@ -53,11 +55,21 @@
         auto message = decodeRecordRequest(call->content);
         if (!message)
             return { PeerStatus::Rejected, {} };
+        if (from == clientAddress)
+            ++this->clientRequests[message->index()];
         return { PeerStatus::Ok, RecordReply { encodeRecordResponse(node->handle(*message)) } };
     }
 
+    // Returns how many requests of one type the client has sent.
+    template <typename Request> int requestsOfClient()
+    {
+        std::lock_guard lock(this->mutex);
+        return this->clientRequests[RecordRequest(Request {}).index()];
+    }
+
 private:
     std::mutex mutex;
+    std::map<std::size_t, int> clientRequests; // by index of the request's type
     std::map<std::string, RecordNode*> nodes;
     std::set<std::string> partitionedAddresses;
 };
@@ -74,13 +86,17 @@
     {
         return this->network.deliver(this->own, address, request);
     }
-    std::vector<PeerResult> requestAll(
-        const std::vector<std::string>& addresses, const PeerRequest& request, Duration, const EnoughAnswers&) override
+    std::vector<PeerResult> requestAll(const std::vector<std::string>& addresses, const PeerRequest& request,
+        const Fanout& fanout, const EnoughAnswers& enough) override
     {
-        std::vector<PeerResult> results;
-        results.reserve(addresses.size());
-        for (const std::string& address : addresses)
-            results.push_back(this->network.deliver(this->own, address, request));
+        std::vector<PeerResult> results(addresses.size(), { PeerStatus::Rejected, {} });
+        std::vector<const PeerResult*> arrived(addresses.size(), nullptr);
+        for (std::size_t i = 0; i < addresses.size(); ++i) {
+            if (i == fanout.firstWave && enough(arrived))
+                break;
+            results[i] = this->network.deliver(this->own, addresses[i], request);
+            arrived[i] = results[i].status == PeerStatus::Ok ? &results[i] : nullptr;
+        }
         return results;
     }
     void notify(const std::string& address, const PeerRequest& request) override
@@ -165,6 +181,10 @@
     CPPUNIT_TEST(budgetHoldsOverEveryMajority);
     CPPUNIT_TEST(turnsSurviveALostDisk);
     CPPUNIT_TEST(unknownTurnIsAbsentOnlyWhenAllSaySo);
+    CPPUNIT_TEST(continuedTurnIsReadFromOneNearReplica);
+    CPPUNIT_TEST(turnIsFoundForAnotherProgram);
+    CPPUNIT_TEST(grantAsksOnlyAMajorityWhileItAnswers);
+    CPPUNIT_TEST(settlementReachesEveryReplicaThatWasAsked);
     CPPUNIT_TEST(wipedNodeVotesOnlyAfterItHasFetchedAll);
     CPPUNIT_TEST(replacedNodeKeepsTheBudget);
     CPPUNIT_TEST(retiredNodeLeavesEnoughCopies);
@@ -197,7 +217,7 @@
             this->nodes.back()->start(true);
         }
         CPPUNIT_ASSERT(waitFor([this] { return this->allAgreeOnRoster(3); }));
-        this->clientPeers = std::make_unique<LoopbackPeers>(this->network, "10.0.0.1:9000");
+        this->clientPeers = std::make_unique<LoopbackPeers>(this->network, clientAddress);
         this->client = this->newClient();
     }
 
@@ -289,26 +309,93 @@
         this->nodes[2]->stop();
         this->client->stop();
         this->client = this->newClient(); // its cache is empty
-        Conversation conversation = this->client->readConversation("t2", this->defaultDeadline());
+        Conversation conversation = this->client->readConversation("t2", "program", this->defaultDeadline());
         CPPUNIT_ASSERT(conversation.status == ConversationStatus::Found);
         CPPUNIT_ASSERT_EQUAL(std::string("in-t1;out-t1;in-t2;out-t2;"), conversation.text);
     }
 
+    // Starts nodes until each data centre has three.
+    void growToNineNodes()
+    {
+        const char* dataCentres[] { "a", "b", "c" };
+        for (int i = 3; i < 9; ++i) {
+            this->nodes.push_back(std::make_unique<TestNode>(
+                "n" + std::to_string(7001 + i), dataCentres[i % 3], this->network, this->store));
+            this->nodes.back()->start(true);
+        }
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgreeOnRoster(9); }));
+        this->client->stop();
+        this->client = this->newClient();
+    }
+
+    // Guards against reads that ask every record node of the data centre: their number grows with the fleet.
+    void continuedTurnIsReadFromOneNearReplica()
+    {
+        this->growToNineNodes();
+        CPPUNIT_ASSERT(this->keep("t1", ""));
+        this->client->stop();
+        this->client = this->newClient(); // its cache is empty
+        Conversation conversation = this->client->readConversation("t1", "program", this->defaultDeadline());
+        CPPUNIT_ASSERT(conversation.status == ConversationStatus::Found);
+        CPPUNIT_ASSERT_EQUAL(1, this->network.requestsOfClient<ReadChainRequest>());
+    }
+
+    // Guards against a turn reported as missing because the program that continues it has other replicas.
+    void turnIsFoundForAnotherProgram()
+    {
+        this->growToNineNodes();
+        CPPUNIT_ASSERT(this->keep("t1", ""));
+        this->client->stop();
+        this->client = this->newClient();
+        for (const char* program : { "other 1", "other 2", "other 3", "other 4" }) {
+            Conversation conversation = this->client->readConversation("t1", program, this->defaultDeadline());
+            CPPUNIT_ASSERT(conversation.status == ConversationStatus::Found);
+        }
+    }
+
+    // Guards against votes whose number is that of all replicas although a majority answers at once.
+    void grantAsksOnlyAMajorityWhileItAnswers()
+    {
+        CPPUNIT_ASSERT(this->reserve("r1") == GrantStatus::Granted);
+        CPPUNIT_ASSERT_EQUAL(2, this->network.requestsOfClient<ReserveRequest>());
+        this->network.setPartitioned(this->nodes[0]->settings.address, true);
+        CPPUNIT_ASSERT(this->reserve("r2") == GrantStatus::Granted);
+        CPPUNIT_ASSERT_EQUAL(2 + 2, this->network.requestsOfClient<ReserveRequest>()); // delivered ones
+    }
+
+    // Guards against a reservation that stays open on a replica that was asked late: it would count in full.
+    void settlementReachesEveryReplicaThatWasAsked()
+    {
+        GrantRequest request { "program", "r1", 1000, 1000, std::chrono::seconds(60) };
+        this->network.setPartitioned(this->nodes[0]->settings.address, true);
+        CPPUNIT_ASSERT(this->client->reserve(request, this->defaultDeadline()).status == GrantStatus::Granted);
+        this->network.setPartitioned(this->nodes[0]->settings.address, false);
+        this->client->settle(request, 0);
+        for (std::size_t away = 0; away < this->nodes.size(); ++away) {
+            std::string address = this->nodes[away]->settings.address;
+            this->network.setPartitioned(address, true);
+            request.requestId = "whole budget, without node " + std::to_string(away);
+            CPPUNIT_ASSERT(this->client->reserve(request, this->defaultDeadline()).status == GrantStatus::Granted);
+            this->network.setPartitioned(address, false);
+            this->client->settle(request, 0);
+        }
+    }
+
     // A turn must not be reported as absent while a node that may hold it is unreachable.
     void unknownTurnIsAbsentOnlyWhenAllSaySo()
     {
-        CPPUNIT_ASSERT(
-            this->client->readConversation("none", this->defaultDeadline()).status == ConversationStatus::Absent);
+        CPPUNIT_ASSERT(this->client->readConversation("none", "program", this->defaultDeadline()).status
+            == ConversationStatus::Absent);
         this->network.setPartitioned(this->nodes[2]->settings.address, true);
-        CPPUNIT_ASSERT(
-            this->client->readConversation("none", this->defaultDeadline()).status == ConversationStatus::Unavailable);
+        CPPUNIT_ASSERT(this->client->readConversation("none", "program", this->defaultDeadline()).status
+            == ConversationStatus::Unavailable);
         this->network.setPartitioned(this->nodes[2]->settings.address, false);
         this->store.setUnavailable(true);
-        CPPUNIT_ASSERT(
-            this->client->readConversation("none", this->defaultDeadline()).status == ConversationStatus::Unavailable);
+        CPPUNIT_ASSERT(this->client->readConversation("none", "program", this->defaultDeadline()).status
+            == ConversationStatus::Unavailable);
         this->store.setUnavailable(false);
-        CPPUNIT_ASSERT(
-            this->client->readConversation("none", this->defaultDeadline()).status == ConversationStatus::Absent);
+        CPPUNIT_ASSERT(this->client->readConversation("none", "program", this->defaultDeadline()).status
+            == ConversationStatus::Absent);
     }
 
     void wipedNodeVotesOnlyAfterItHasFetchedAll()
@@ -354,8 +441,8 @@
         this->nodes[0]->wipe();
         this->client->stop();
         this->client = this->newClient();
-        CPPUNIT_ASSERT(
-            this->client->readConversation("t1", this->defaultDeadline()).status == ConversationStatus::Found);
+        CPPUNIT_ASSERT(this->client->readConversation("t1", "program", this->defaultDeadline()).status
+            == ConversationStatus::Found);
     }
 
     void platformKeepsTurnsWithoutDisks()
@@ -371,8 +458,8 @@
         this->network.setPartitioned(this->nodes[2]->settings.address, false);
         this->client->stop();
         this->client = this->newClient();
-        CPPUNIT_ASSERT(
-            this->client->readConversation("t1", this->defaultDeadline()).status == ConversationStatus::Found);
+        CPPUNIT_ASSERT(this->client->readConversation("t1", "program", this->defaultDeadline()).status
+            == ConversationStatus::Found);
     }
 
     // After all VMs lose power while the platform is down, the data on their disks must suffice to serve requests.
@@ -386,8 +473,8 @@
             CPPUNIT_ASSERT(entry->node->ready());
         }
         CPPUNIT_ASSERT(this->reserve("r") == GrantStatus::Granted);
-        CPPUNIT_ASSERT(
-            this->client->readConversation("t1", this->defaultDeadline()).status == ConversationStatus::Found);
+        CPPUNIT_ASSERT(this->client->readConversation("t1", "program", this->defaultDeadline()).status
+            == ConversationStatus::Found);
         this->store.setUnavailable(false);
     }
 
@@ -464,8 +551,8 @@
         CPPUNIT_ASSERT(this->reserve("later") == GrantStatus::Exhausted);
         this->client->stop();
         this->client = this->newClient();
-        CPPUNIT_ASSERT(
-            this->client->readConversation("t1", this->defaultDeadline()).status == ConversationStatus::Found);
+        CPPUNIT_ASSERT(this->client->readConversation("t1", "program", this->defaultDeadline()).status
+            == ConversationStatus::Found);
     }
 
     void goneNodeIsRemovedFromTheRoster()
--- a/lovagecross/sharing/DirectoryFollowerTest.cpp
+++ b/lovagecross/sharing/DirectoryFollowerTest.cpp
@@ -25,7 +25,7 @@
         return { PeerStatus::Ok, answerDirectoryFetch(*found->second, std::get<DirectoryFetch>(request)) };
     }
     std::vector<PeerResult> requestAll(
-        const std::vector<std::string>&, const PeerRequest&, Duration, const EnoughAnswers&) override
+        const std::vector<std::string>&, const PeerRequest&, const Fanout&, const EnoughAnswers&) override
     {
         return {};
     }
