Cost of messages and memory of an entry node no longer grow with its connections

Cause: the peers' I/O thread queried every connection at each message (zmq::poll), a fifth of an entry node's processor with four peers; the cache of kept turns grew to its limit with conversations that had ended; two status listeners kept four idle threads each; every record node read the roster at the platform every 4 s, and the author of a change told only those that it fetched from. Change: SocketPoller waits with epoll and queries only sockets that are signalled or were used; cached turns that were unused for 10 s are dropped; a status listener keeps one idle thread; the author of a roster announces it to all members, a request for a newer epoch triggers a refresh, and the routine refresh is 20 s. Tests: SocketPollerTest, TurnCacheTest; without the announcement RecordStoreTest::continuedTurnIsReadFromOneNearReplica and turnIsFoundForAnotherProgram fail.

--- a/lovagecross/adapters/ZmqPeers.cpp
+++ b/lovagecross/adapters/ZmqPeers.cpp
@@ -4,6 +4,7 @@
 #include "lovagecross/adapters/PeerCodec.h"
 #include "lovagecross/adapters/PeerKeys.h"
 #include "lovagecross/adapters/PendingAnswer.h"
+#include "lovagecross/adapters/SocketPoller.h"
 #include "lovagecross/adapters/WorkerPool.h"
 
 #include <algorithm>
@@ -36,12 +37,14 @@
 using detail::Refusal;
 using detail::RequestId;
 using detail::SendResult;
+using detail::SocketPoller;
 using detail::WorkerPool;
 
 namespace {
 
 using SteadyClock = std::chrono::steady_clock;
 
+constexpr const char* routerName = "router"; // of the accepting socket in the poller; not a valid peer address
 constexpr auto tickInterval = std::chrono::milliseconds(100);
 constexpr auto sendRetryInterval = std::chrono::milliseconds(5); // delay before unsent answers are retried
 constexpr auto notificationLifetime = std::chrono::seconds(5); // unsent notifications are dropped after this time
@@ -222,6 +225,9 @@
             this->router.bind("tcp://" + this->settings.bindAddress);
             std::string endpoint = this->router.get(zmq::sockopt::last_endpoint);
             this->bound = endpoint.substr(endpoint.find("//") + 2);
+            if (std::string error = this->poller.open(this->wakeFd); !error.empty())
+                return error;
+            this->poller.add(routerName, this->router);
         } catch (const zmq::error_t& error) {
             this->router.close();
             return "peerAddress " + this->settings.bindAddress + ": " + error.what();
@@ -507,6 +513,9 @@
 
     void closeSockets()
     {
+        for (const auto& [address, connection] : this->connections)
+            this->poller.remove(address);
+        this->poller.remove(routerName);
         this->connections.clear();
         this->router.close();
         this->context.close();
@@ -514,31 +523,20 @@
 
     void pollSockets(SteadyClock::time_point nextTick)
     {
-        std::vector<zmq::pollitem_t> items;
-        items.push_back({ nullptr, this->wakeFd, ZMQ_POLLIN, 0 });
-        items.push_back({ this->router.handle(), 0, ZMQ_POLLIN, 0 });
-        std::vector<std::string> addresses;
-        for (auto& [address, connection] : this->connections) {
-            short events = ZMQ_POLLIN;
-            if (!connection.queue.empty())
-                events |= ZMQ_POLLOUT;
-            items.push_back({ connection.socket.handle(), 0, events, 0 });
-            addresses.push_back(address);
-        }
         auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(nextTick - SteadyClock::now());
         wait = std::clamp<std::chrono::milliseconds>(wait, std::chrono::milliseconds(0), tickInterval);
         if (!this->answerQueues.empty())
             wait = std::min<std::chrono::milliseconds>(wait, sendRetryInterval);
-        zmq::poll(items, wait);
-        if ((items[0].revents & ZMQ_POLLIN) != 0) {
+        std::vector<std::string> ready = this->poller.wait(wait);
+        if (this->poller.woken()) {
             std::uint64_t count = 0;
             [[maybe_unused]] auto size = ::read(this->wakeFd, &count, sizeof(count));
         }
-        if ((items[1].revents & ZMQ_POLLIN) != 0)
-            this->receiveRequests();
-        for (std::size_t i = 0; i < addresses.size(); ++i) {
-            if ((items[i + 2].revents & ZMQ_POLLIN) != 0)
-                this->receiveAnswers(addresses[i], this->connections.at(addresses[i]));
+        for (const std::string& name : ready) {
+            if (name == routerName)
+                this->receiveRequests();
+            else
+                this->receiveAnswers(name, this->connections.at(name));
         }
     }
 
@@ -596,7 +594,9 @@
         if (!this->openSocket(address, connection))
             return nullptr;
         connection.lastUsed = SteadyClock::now();
-        return &this->connections.emplace(address, std::move(connection)).first->second;
+        Connection& added = this->connections.emplace(address, std::move(connection)).first->second;
+        this->poller.add(address, added.socket);
+        return &added;
     }
 
     bool openSocket(const std::string& address, Connection& connection)
@@ -630,7 +630,9 @@
         if (waited < this->settings.silenceTimeout)
             return;
         connection.waitingSince.reset();
+        this->poller.remove(address);
         bool opened = this->openSocket(address, connection);
+        this->poller.add(address, connection.socket);
         this->replaced.add();
         LogLine(LogLevel::Info, "peer_connection_replaced")
             .field("address", address)
@@ -648,8 +650,14 @@
 
     void flush()
     {
-        for (auto& [address, connection] : this->connections)
+        for (auto& [address, connection] : this->connections) {
+            if (connection.queue.empty())
+                continue;
             this->flushConnection(connection);
+            this->poller.touch(address);
+        }
+        if (!this->answerQueues.empty())
+            this->poller.touch(routerName);
         for (auto it = this->answerQueues.begin(); it != this->answerQueues.end();) {
             bool empty = this->flushAnswerQueue(it->first, it->second);
             it = empty ? this->answerQueues.erase(it) : std::next(it);
@@ -994,6 +1002,8 @@
             this->dropExpired(it->second, now);
             this->replaceIfSilent(it->first, it->second, now);
             bool idle = it->second.queue.empty() && now - it->second.lastUsed > this->settings.idleConnectionTimeout;
+            if (idle)
+                this->poller.remove(it->first);
             it = idle ? this->connections.erase(it) : std::next(it);
         }
     }
@@ -1038,6 +1048,7 @@
 
     zmq::context_t context;
     zmq::socket_t router;
+    SocketPoller poller;
     std::map<std::string, Connection> connections; // by address
     std::map<std::pair<std::string, RequestId>, std::shared_ptr<ServedRequest>> servedForwards; // open forwards
     std::unordered_map<std::string, std::weak_ptr<Requester>> requesters; // by routing id
--- a/lovagecross/daemon/HttpServer.cpp
+++ b/lovagecross/daemon/HttpServer.cpp
@@ -26,7 +26,6 @@
 
 namespace {
 
-constexpr int idleThreads = 4;
 // A handler uses a few kilobytes of stack. A small stack keeps the memory cost of many waiting callers low.
 constexpr int stackBytes = 256 * 1024;
 constexpr std::size_t maxDiscardedBytes = 4 * 1024 * 1024;
@@ -207,7 +206,7 @@
     return header.compare(0, prefix.size(), prefix) == 0 ? header.substr(prefix.size()) : std::string();
 }
 
-HttpListener::HttpListener(const std::string& address, int maxConnections, HttpHandler handler)
+HttpListener::HttpListener(const std::string& address, int maxConnections, HttpHandler handler, int idleThreads)
     : threads(idleThreads, maxConnections, 60, stackBytes)
     , activeRequests(std::make_shared<std::atomic<int>>(0))
 {
--- a/lovagecross/daemon/HttpServer.h
+++ b/lovagecross/daemon/HttpServer.h
@@ -36,8 +36,9 @@
 
 class HttpListener {
 public:
-    // `address` is IP:port. Throws Poco::Exception if it can't be bound.
-    HttpListener(const std::string& address, int maxConnections, HttpHandler handler);
+    // `address` is IP:port. `idleThreads` is the number of threads that are kept while there are no connections. Throws
+    // Poco::Exception if the address can't be bound.
+    HttpListener(const std::string& address, int maxConnections, HttpHandler handler, int idleThreads = 4);
     ~HttpListener();
     HttpListener(const HttpListener&) = delete;
     HttpListener& operator=(const HttpListener&) = delete;
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -47,6 +47,7 @@
 constexpr Duration peerSilenceTimeout = std::chrono::seconds(1);
 constexpr Duration poolPruneInterval = std::chrono::seconds(1);
 constexpr int statusListenerThreads = 4;
+constexpr int statusListenerIdleThreads = 1;
 constexpr std::size_t connectionsPerMegabyte = 6;
 constexpr std::size_t minConnectionLimit = 128;
 constexpr std::size_t maxConnectionLimit = 2000;
@@ -106,7 +107,8 @@
 public:
     StatusListener(const std::string& address, const Counters& counters, std::string readyPath,
         std::function<std::string()> notReadyReason)
-        : listener(address, statusListenerThreads,
+        : listener(
+            address, statusListenerThreads,
             [&counters, path = std::move(readyPath), reason = std::move(notReadyReason)](
                 auto& request, auto& response) {
                 if (!path.empty() && request.getURI() == path) {
@@ -117,7 +119,8 @@
                 } else {
                     sendText(response, 404, "unknown path\n");
                 }
-            })
+            },
+            statusListenerIdleThreads)
     {
         this->listener.start();
     }
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -45,7 +45,7 @@
 RecordClient::RecordClient(RecordClientSettings clientSettings, RecordNodeParts clientParts)
     : settings(std::move(clientSettings))
     , parts(clientParts)
-    , cache(this->settings.cacheBytes)
+    , cache(clientParts.clock, this->settings.cacheBytes)
     , platform(clientParts.store, clientParts.counters)
 {
 }
--- a/lovagecross/records/RecordNode.cpp
+++ b/lovagecross/records/RecordNode.cpp
@@ -113,11 +113,12 @@
 
 // Returns whether a write for `epoch` can be accepted; otherwise sets the status and the roster of the response. If
 // `epoch` is newer, this node has missed a roster change. `mutex` must be held.
-bool RecordNode::acceptsEpoch(std::uint64_t epoch, RecordResponse& response) const
+bool RecordNode::acceptsEpoch(std::uint64_t epoch, RecordResponse& response)
 {
     const Roster& roster = this->holdings.roster();
     if (epoch == roster.epoch && this->holdings.isMember())
         return true;
+    this->newerEpochSeen = this->newerEpochSeen || epoch > roster.epoch;
     response.status = epoch < roster.epoch ? RecordStatus::OldEpoch : RecordStatus::NotReady;
     response.roster = roster;
     return false;
--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -28,6 +28,7 @@
 #include "lovagecross/records/ReplicaState.h"
 #include "lovagecross/records/Roster.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -102,7 +103,7 @@
     RecordResponse handleAdopt(const AdoptRequest& request);
     RecordResponse handleFill(const FillRequest& request) const;
     RecordResponse handleInspect() const;
-    bool acceptsEpoch(std::uint64_t epoch, RecordResponse& response) const;
+    bool acceptsEpoch(std::uint64_t epoch, RecordResponse& response);
 
     struct MaintenanceState {
         bool member = false;
@@ -112,6 +113,7 @@
 
     void run();
     void maintain();
+    bool refreshIsDue(TimePoint now) const;
     MaintenanceState maintenanceState() const;
     StoreStatus refreshRoster();
     bool adopt(const Roster& next, bool nothingToFetch);
@@ -125,6 +127,7 @@
     bool fetchFromPlatform();
     void mergeFetched(const RecordResponse& page, const FillFilter& filter);
     void runSharedTasks(TimePoint now, bool filled);
+    void announce(const Roster& roster);
     void removeFailedMember(const Roster& roster);
     void drainPlatform(const Roster& roster);
     void leave();
@@ -154,6 +157,8 @@
     std::map<std::string, Cursor> cursors; // keyed by peer address; used by the maintenance thread only
     std::uint64_t rosterVersion = 0; // of the roster's object at the platform; used by the maintenance thread only
     TimePoint nextRefresh;
+    TimePoint nextNewerEpochRefresh;
+    std::atomic<bool> newerEpochSeen { false }; // a request named an epoch that this node doesn't know yet
     TimePoint nextExpiry;
     TimePoint nextMemberCheck;
     TimePoint nextPlatformDrain;
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -13,7 +13,10 @@
 using std::chrono::milliseconds;
 
 constexpr Duration maintainInterval = milliseconds(200);
-constexpr Duration refreshInterval = std::chrono::seconds(4); // the members that change the roster also announce it
+// The node that changes the roster announces it. The interval is for members that missed the announcement and get no
+// requests for the new epoch; a short one would make the platform's calls grow with the number of members.
+constexpr Duration refreshInterval = std::chrono::seconds(20);
+constexpr Duration newerEpochRefreshInterval = milliseconds(500);
 constexpr Duration expiryInterval = std::chrono::seconds(5);
 constexpr Duration memberCheckInterval = std::chrono::seconds(2);
 // Also the time for which a reader still finds a turn at the platform after it was copied to the disks.
@@ -42,8 +45,10 @@
 void RecordNode::maintain()
 {
     TimePoint now = this->parts.clock.now();
-    if (now >= this->nextRefresh || !this->maintenanceState().member) {
+    if (this->refreshIsDue(now)) {
         this->nextRefresh = now + refreshInterval;
+        this->nextNewerEpochRefresh = now + newerEpochRefreshInterval;
+        this->newerEpochSeen = false;
         this->refreshRoster();
     }
     auto [member, leaving, filled] = this->maintenanceState();
@@ -61,6 +66,12 @@
         this->runSharedTasks(now, filled);
 }
 
+bool RecordNode::refreshIsDue(TimePoint now) const
+{
+    return now >= this->nextRefresh || (this->newerEpochSeen && now >= this->nextNewerEpochRefresh)
+        || !this->maintenanceState().member;
+}
+
 RecordNode::MaintenanceState RecordNode::maintenanceState() const
 {
     std::lock_guard lock(this->mutex);
@@ -104,8 +115,20 @@
         .field("silentMs", toMillis(this->settings.memberRemovalTimeout))
         .field("written", written)
         .write();
-    if (written)
-        this->adopt(next, false);
+    if (!written)
+        return;
+    this->adopt(next, false);
+    this->announce(next);
+}
+
+// Tells all other members of a roster that this node has just written.
+void RecordNode::announce(const Roster& roster)
+{
+    RecordCall call { encodeRecordRequest(AdoptRequest { roster }) };
+    for (const RosterMember& member : roster.members) {
+        if (member.node != this->settings.node)
+            this->parts.peers.notify(member.address, call);
+    }
 }
 
 // Copies turns from the platform to the disks of their replicas and removes them from the platform one round later. A
@@ -211,6 +234,7 @@
     this->newDisk = false;
     // Reservations granted during the initial start may be stored at the platform.
     this->adopt(next, founding && !platformVotes(before, this->settings.tolerance));
+    this->announce(next);
     std::lock_guard lock(this->wakeMutex);
     this->wakeRequested = true;
 }
@@ -394,6 +418,7 @@
             return;
         }
         this->adopt(next, false);
+        this->announce(next);
         roster = next;
     }
     std::size_t filled = 0;
--- a/lovagecross/records/TurnCache.cpp
+++ b/lovagecross/records/TurnCache.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-TurnCache::TurnCache(std::size_t maxCachedBytes)
-    : maxBytes(maxCachedBytes)
+TurnCache::TurnCache(const Clock& clock, std::size_t maxCachedBytes)
+    : clock(clock)
+    , maxBytes(maxCachedBytes)
 {
 }
 
@@ -25,14 +26,12 @@
     std::lock_guard lock(this->mutex);
     if (this->byId.count(turn.id) > 0)
         return;
+    TimePoint now = this->clock.now();
     this->bytes += sizeOf(turn);
-    this->recent.push_front(std::move(turn));
-    this->byId[this->recent.front().id] = this->recent.begin();
-    while (this->bytes > this->maxBytes && !this->recent.empty()) {
-        this->bytes -= sizeOf(this->recent.back());
-        this->byId.erase(this->recent.back().id);
-        this->recent.pop_back();
-    }
+    this->recent.push_front({ std::move(turn), now });
+    this->byId[this->recent.front().turn.id] = this->recent.begin();
+    while (!this->recent.empty() && (this->bytes > this->maxBytes || now - this->recent.back().usedAt > unusedLifetime))
+        this->dropOldest();
 }
 
 std::optional<CachedTurn> TurnCache::find(const std::string& id)
@@ -41,8 +40,23 @@
     auto found = this->byId.find(id);
     if (found == this->byId.end())
         return std::nullopt;
+    found->second->usedAt = this->clock.now();
     this->recent.splice(this->recent.begin(), this->recent, found->second);
-    return *found->second;
+    return found->second->turn;
+}
+
+std::size_t TurnCache::size() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->bytes;
+}
+
+void TurnCache::dropOldest()
+{
+    const CachedTurn& oldest = this->recent.back().turn;
+    this->bytes -= sizeOf(oldest);
+    this->byId.erase(oldest.id);
+    this->recent.pop_back();
 }
 
 } // namespace lovagecross
