Bytes without end no longer keep a call reading past its deadline

Cause: a wait for a server's bytes returned as soon as there were some, so a server that never stopped sending was read past the deadline and hid that the caller had left. In HttpConnection, which reads the platform and the servers of the mode with programs, interim responses without end are read until the deadline; POCO limits the fields of a head. Change: after the deadline only what has already arrived is read, up to 256 KB; at most 32 interim responses, 16 KB of trailers and 256 KB for one event; only events with data are progress; the caller's end is looked at first. HttpConnection limits a head with its interim responses to 128 KB.

--- a/lovagecross/adapters/HttpConnection.cpp
+++ b/lovagecross/adapters/HttpConnection.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view lastChunk = "0\r\n\r\n";
 constexpr std::uint64_t maxRetryAfterMillis = 60'000;
 constexpr int maxJsonDepth = 16; // for error bodies
+constexpr std::size_t maxResponseHeadBytes = 128 * 1024; // with the body bytes that arrive together with the head
 
 Poco::Timespan toTimespan(Duration duration)
 {
@@ -49,6 +50,7 @@
         this->bytesSent = 0;
         this->bytesReceived = 0;
         this->receivedTail.clear();
+        this->readingHead = true;
         this->expiredTimeout = Timeout::None;
     }
 
@@ -76,6 +78,8 @@
         int count = Poco::Net::StreamSocketImpl::receiveBytes(buffer, length, flags);
         if (count > 0) {
             this->bytesReceived += static_cast<std::size_t>(count);
+            if (this->readingHead && this->bytesReceived > maxResponseHeadBytes)
+                throw Poco::Net::MessageException("the response head is too long");
             this->receivedTail.append(static_cast<const char*>(buffer), static_cast<std::size_t>(count));
             if (this->receivedTail.size() > lastChunk.size())
                 this->receivedTail.erase(0, this->receivedTail.size() - lastChunk.size());
@@ -86,6 +90,7 @@
     HttpLimits limits;
     std::size_t bytesSent = 0;
     std::size_t bytesReceived = 0;
+    bool readingHead = true; // of the response, interim responses included
     std::string receivedTail; // the last bytes received
     Timeout expiredTimeout = Timeout::None;
 
@@ -167,6 +172,7 @@
         if (!out.good())
             return this->fail("sending the request failed");
         this->bodyBuffer = this->session->receiveResponse(response).rdbuf();
+        this->socket->readingHead = false;
     } catch (const Poco::Exception& error) {
         return this->fail(error.displayText().c_str());
     } catch (const std::exception& error) {
--- /dev/null
+++ b/lovagecross/adapters/HttpConnectionTest.cpp
@@ -0,0 +1,61 @@
+#include "lovagecross/adapters/HttpConnection.h"
+#include "lovagecross/testing/ScriptedServer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lovagecross::detail {
+
+class HttpConnectionTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HttpConnectionTest);
+    CPPUNIT_TEST(endlessHeadEndsTheExchange);
+    CPPUNIT_TEST(endlessInterimResponsesEndTheExchange);
+    CPPUNIT_TEST(endlessBodyEndsTheExchange);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Duration longDeadline = std::chrono::seconds(20); // must not be what ends the exchange
+
+    SystemClock clock;
+
+    // Calls a server that sends `start`, then `bytes` until the connection closes, and returns how the call ended.
+    HttpEnd callServerThatSends(const std::string& start, const std::string& bytes)
+    {
+        testing::ScriptedServer server([&](const testing::ScriptedRequest&, testing::ScriptedConnection& connection) {
+            connection.write(start);
+            while (connection.write(bytes)) { }
+            return false;
+        });
+        HttpConnection connection(server.address(), this->clock);
+        Poco::Net::HTTPResponse response;
+        HttpCall call { "GET", "/object", {}, {} };
+        HttpEnd end = connection.exchange(call, { this->clock.now() + longDeadline }, response);
+        std::string body;
+        return end == HttpEnd::Complete ? connection.readBody(body, 64 * 1024) : end;
+    }
+
+    // Guards against header fields that are read until the deadline.
+    void endlessHeadEndsTheExchange()
+    {
+        TimePoint start = this->clock.now();
+        CPPUNIT_ASSERT(
+            this->callServerThatSends("HTTP/1.1 200 OK\r\n", "X-Field: value\r\n") == HttpEnd::ConnectionFailed);
+        CPPUNIT_ASSERT(this->clock.now() - start < longDeadline / 2);
+    }
+
+    void endlessInterimResponsesEndTheExchange()
+    {
+        TimePoint start = this->clock.now();
+        CPPUNIT_ASSERT(this->callServerThatSends("", "HTTP/1.1 100 Continue\r\n\r\n") == HttpEnd::ConnectionFailed);
+        CPPUNIT_ASSERT(this->clock.now() - start < longDeadline / 2);
+    }
+
+    void endlessBodyEndsTheExchange()
+    {
+        CPPUNIT_ASSERT(
+            this->callServerThatSends("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n")
+            == HttpEnd::TooLarge);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
+
+} // namespace lovagecross::detail
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t maxBufferedResponseBytes = 1024 * 1024; // limit for a response that is not a stream
+constexpr std::size_t maxEventBytes = 256 * 1024; // limit for one event of a stream
 constexpr std::uint32_t maxExtraSends = 2; // allows for servers that confirm that they did not run the call
 constexpr Duration minTimeToSend = milliseconds(5); // a call with less time before its deadline is not sent
 constexpr Duration shortRetryAfter = milliseconds(150);
@@ -334,6 +335,10 @@
             this->lastFailure = std::string("stream_") + std::string(exchangeStatusNames.name(end));
             return this->handleFailedExchange(found, end);
         }
+        if (splitter.pendingBytes() > maxEventBytes) {
+            this->lastFailure = "stream_event_too_long";
+            return this->handleFailedExchange(found, ExchangeStatus::Lost);
+        }
         if (!exchange.complete())
             continue;
         if (splitter.pendingBytes() > 0) {
@@ -368,7 +373,8 @@
     }
     if (events.empty())
         return AttemptOutcome::TryNextServer;
-    this->lastEventAt = this->parts.clock.now();
+    if (count > 0) // events without data are no progress, and must not keep a stalled stream open
+        this->lastEventAt = this->parts.clock.now();
     this->eventsWritten += count;
     if (!this->headWritten && !this->writeStreamHead())
         return AttemptOutcome::CallerLeft;
--- a/lovagecross/gateway/EventStream.cpp
+++ b/lovagecross/gateway/EventStream.cpp
@@ -35,11 +35,15 @@
 
 std::optional<StreamEvent> EventSplitter::next()
 {
-    std::size_t lfEnd = this->unparsed.find("\n\n");
-    std::size_t crlfEnd = this->unparsed.find("\n\r\n");
+    std::size_t lfEnd = this->unparsed.find("\n\n", this->searched);
+    std::size_t crlfEnd = this->unparsed.find("\n\r\n", this->searched);
     std::size_t end = std::min(lfEnd, crlfEnd);
-    if (end == std::string::npos)
+    if (end == std::string::npos) {
+        constexpr std::size_t terminatorBytes = 3;
+        this->searched = this->unparsed.size() - std::min(this->unparsed.size(), terminatorBytes - 1);
         return std::nullopt;
+    }
+    this->searched = 0;
     StreamEvent event;
     event.bytes = this->unparsed.substr(0, end + (lfEnd <= crlfEnd ? 2 : 3));
     this->unparsed.erase(0, event.bytes.size());
--- a/lovagecross/gateway/EventStream.h
+++ b/lovagecross/gateway/EventStream.h
@@ -35,6 +35,7 @@
 
 private:
     std::string unparsed;
+    std::size_t searched = 0; // number of bytes of `unparsed` in which no event ends
 };
 
 } // namespace lovagecross
--- a/lovagecross/gateway/ServerExchange.cpp
+++ b/lovagecross/gateway/ServerExchange.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t maxResponseHeadBytes = 32 * 1024;
 constexpr std::size_t maxDiscardedBodyBytes = 1024 * 1024; // of a response to another request
 constexpr int maxSkippedResponses = 3;
+constexpr int maxInterimResponses = 32; // with a status below 200, before the final one
+constexpr std::size_t maxBytesAfterDeadline = 256 * 1024;
 constexpr Duration defaultIdleTimeout = std::chrono::seconds(4); // for a server that sends no Keep-Alive timeout
 constexpr Duration idleTimeoutMargin = milliseconds(500); // drops an idle connection before the server closes it
 constexpr std::string_view headEnd = "\r\n\r\n";
@@ -91,14 +93,14 @@
 ExchangeStatus ServerExchange::readHead(const ServerRequest& request, TimePoint deadline)
 {
     int skipped = 0;
+    int interimResponses = 0;
     for (;;) {
         std::size_t end = this->stream->buffered.find(headEnd);
         if (end == std::string::npos) {
             if (this->streamEnded || this->stream->buffered.size() > maxResponseHeadBytes)
                 return ExchangeStatus::Lost;
-            if (ExchangeStatus waited = this->waitForServer(deadline); waited != ExchangeStatus::Ok)
-                return waited;
-            this->streamEnded = this->stream->receive() != IoStatus::Ok;
+            if (ExchangeStatus received = this->receiveMore(deadline); received != ExchangeStatus::Ok)
+                return received;
             continue;
         }
         std::string bytes = this->stream->buffered.substr(0, end + headEnd.size());
@@ -107,6 +109,8 @@
         ExchangeStatus taken = this->parseHead(bytes, request.method == "HEAD", interim);
         if (taken != ExchangeStatus::Ok)
             return taken;
+        if (interim && ++interimResponses > maxInterimResponses)
+            return ExchangeStatus::Lost;
         if (interim)
             continue;
         if (this->responseRemarks.requestId == request.requestId)
@@ -155,17 +159,30 @@
             return ExchangeStatus::Ok;
         if (this->streamEnded)
             return ExchangeStatus::Lost;
-        if (ExchangeStatus waited = this->waitForServer(deadline); waited != ExchangeStatus::Ok)
-            return waited;
-        IoStatus status = this->stream->receive();
-        if (status == IoStatus::Ok)
-            continue;
-        this->streamEnded = true;
-        if (status == IoStatus::Closed && this->stream->buffered.empty())
-            this->decoder->connectionEnded();
+        if (ExchangeStatus received = this->receiveMore(deadline); received != ExchangeStatus::Ok)
+            return received;
     }
 }
 
+// Waits for bytes from the server and reads them. Sets `streamEnded` if the connection has ended instead.
+ExchangeStatus ServerExchange::receiveMore(TimePoint deadline)
+{
+    if (ExchangeStatus waited = this->waitForServer(deadline); waited != ExchangeStatus::Ok)
+        return waited;
+    std::size_t before = this->stream->buffered.size();
+    IoStatus status = this->stream->receive();
+    if (this->clock.now() >= deadline)
+        this->bytesAfterDeadline += this->stream->buffered.size() - before;
+    if (this->bytesAfterDeadline > maxBytesAfterDeadline)
+        return ExchangeStatus::TimedOut;
+    if (status == IoStatus::Ok)
+        return ExchangeStatus::Ok;
+    this->streamEnded = true;
+    if (status == IoStatus::Closed && this->stream->buffered.empty() && this->decoder)
+        this->decoder->connectionEnded();
+    return ExchangeStatus::Ok;
+}
+
 ExchangeStatus ServerExchange::readAll(std::string& content, std::size_t maxBytes, TimePoint deadline)
 {
     while (!this->complete()) {
--- a/lovagecross/gateway/ServerExchange.h
+++ b/lovagecross/gateway/ServerExchange.h
@@ -63,6 +63,9 @@
     const ResponseHead& head() const { return this->response; }
     const ResponseMetadata& remarks() const { return this->responseRemarks; }
 
+    // All reads end with TimedOut at their deadline. What has already arrived by then is still read, up to a limit, so
+    // that a response is not lost because this process was suspended and bytes without end do not keep it reading.
+    //
     // Appends the content that has arrived, and waits for some if there is none. After Ok, `complete()` tells whether
     // the body has ended.
     ExchangeStatus readSome(std::string& content, TimePoint deadline);
@@ -78,6 +81,7 @@
     ExchangeStatus sendAll(std::string_view bytes, TimePoint deadline);
     ExchangeStatus readHead(const ServerRequest& request, TimePoint deadline);
     ExchangeStatus parseHead(std::string_view bytes, bool toHeadRequest, bool& interim);
+    ExchangeStatus receiveMore(TimePoint deadline);
     ExchangeStatus waitForServer(TimePoint deadline);
     ExchangeStatus discardBody(TimePoint deadline);
     Duration idleTimeout() const;
@@ -92,6 +96,7 @@
     bool reused = false;
     bool requestSent = false;
     bool streamEnded = false;
+    std::size_t bytesAfterDeadline = 0;
     ResponseHead response;
     ResponseMetadata responseRemarks;
     std::optional<BodyDecoder> decoder;
--- a/lovagecross/http/BodyDecoder.cpp
+++ b/lovagecross/http/BodyDecoder.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t maxChunkLineBytes = 256; // limit of a chunk size line with its extensions, and of a trailer line
+constexpr std::size_t maxTrailerBytes = 16 * 1024;
 
 } // namespace
 
@@ -84,7 +85,8 @@
     if (this->step == ChunkStep::Trailer) {
         if (line.empty())
             this->bodyState = BodyState::Complete;
-        return line.find('\n') == std::string_view::npos;
+        this->trailerBytes += line.size() + 2;
+        return this->trailerBytes <= maxTrailerBytes && line.find('\n') == std::string_view::npos;
     }
     std::string_view digits = line.substr(0, line.find(';'));
     auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), this->remaining, 16);
--- a/lovagecross/http/BodyDecoder.h
+++ b/lovagecross/http/BodyDecoder.h
@@ -53,6 +53,7 @@
     Framing framing;
     BodyState bodyState = BodyState::Reading;
     std::uint64_t remaining = 0; // bytes left of the body or of the current chunk
+    std::size_t trailerBytes = 0;
     ChunkStep step = ChunkStep::Size;
 };
 
--- a/lovagecross/http/ByteStream.cpp
+++ b/lovagecross/http/ByteStream.cpp
@@ -138,7 +138,7 @@
         std::array<pollfd, 2> items { { { first.descriptor(), POLLIN, 0 }, { second.descriptor(), POLLIN, 0 } } };
         int count = ::poll(items.data(), watchSecond ? 2 : 1, millisUntil(deadline, clock));
         if (count > 0)
-            return items[0].revents != 0 ? PairEvent::First : PairEvent::Second;
+            return watchSecond && items[1].revents != 0 ? PairEvent::Second : PairEvent::First;
         if (count == 0 && clock.now() >= deadline)
             return PairEvent::TimedOut;
         if (count < 0 && errno != EINTR)
--- a/lovagecross/http/ByteStream.h
+++ b/lovagecross/http/ByteStream.h
@@ -70,11 +70,12 @@
 
 enum class PairEvent {
     First, // the first stream has bytes, the end of the connection or an error to read
-    Second, // only the second stream has
+    Second, // the second stream has
     TimedOut,
 };
 
-// Waits until either stream can be read. If both can, returns First. Ignores the second one if `watchSecond` is false.
+// Waits until either stream can be read. If both can, returns Second, so that a first stream that always has bytes does
+// not hide the end of the second. Ignores the second one if `watchSecond` is false.
 PairEvent waitEither(
     const ByteStream& first, const ByteStream& second, bool watchSecond, TimePoint deadline, const Clock& clock);
 
