A planned stop answers the connections that were already open

Cause: at a stop the library's server discarded the connections that waited for a thread, and those in the listen queue stayed open without an answer until the process ended; new ones were still taken into the queue meanwhile. Change: the gateway accepts by itself. At a stop it serves what is in the listen queue, then closes the listener, so that later callers are refused at once and go elsewhere; a new connection is left open for 100 ms for its first request; connections that wait for their thread count as open.

--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::string_view headEnd = "\r\n\r\n";
 constexpr std::size_t maxBufferedBodyBytes = 24 * 1024 * 1024; // across all requests of this node
+constexpr Duration firstRequestDelay = milliseconds(100); // from a new connection to its first request
 constexpr Duration bodyTimeout = std::chrono::seconds(10);
 constexpr Duration refusalWriteTimeout = std::chrono::seconds(1);
 constexpr Duration lingeringCloseTimeout = milliseconds(300);
@@ -49,6 +50,7 @@
 CallerSession::CallerSession(GatewayContext& shared, const Poco::Net::StreamSocket& socket)
     : parts(shared)
     , stream(socket)
+    , openedAt(shared.clock.now())
 {
 }
 
@@ -83,6 +85,8 @@
 void CallerSession::closeIfIdle()
 {
     std::lock_guard lock(this->idleMutex);
+    if (this->headArrivedAt == TimePoint() && this->parts.clock.now() - this->openedAt < firstRequestDelay)
+        return;
     this->closeWhenIdle = true;
     if (!this->idle || this->closedWhileIdle || !this->stream.isReusable())
         return;
--- a/lovagecross/gateway/CallerSession.h
+++ b/lovagecross/gateway/CallerSession.h
@@ -23,7 +23,8 @@
     // Serves requests until the connection is closed.
     void run();
 
-    // Closes the connection if no request has begun on it.
+    // Closes the connection if no request has begun on it. A new connection is left open for a short time, in which its
+    // first request may arrive.
     void closeIfIdle();
 
 private:
@@ -43,6 +44,7 @@
 
     GatewayContext& parts;
     ByteStream stream;
+    const TimePoint openedAt;
     TimePoint headArrivedAt;
     std::mutex idleMutex;
     bool idle = true;
--- a/lovagecross/gateway/Gateway.cpp
+++ b/lovagecross/gateway/Gateway.cpp
@@ -3,11 +3,12 @@
 #include "lovagecross/adapters/Log.h"
 #include "lovagecross/gateway/CallerSession.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/Runnable.h>
+#include <Poco/Timespan.h>
 #include <exception>
-#include <thread>
+#include <memory>
 
 namespace lovagecross {
 
@@ -17,6 +18,8 @@
 constexpr int threadIdleSeconds = 30;
 constexpr int stackBytes = 160 * 1024;
 constexpr int listenBacklog = 1024;
+const Poco::Timespan acceptTimeout(0, 200'000); // until the acceptor checks for a stop
+constexpr Duration acceptRetryInterval = std::chrono::milliseconds(20);
 constexpr Duration stopPollInterval = std::chrono::milliseconds(20);
 
 } // namespace
@@ -62,21 +65,25 @@
     CallerSession& session;
 };
 
-namespace {
-
-class CallerConnection final : public Poco::Net::TCPServerConnection {
+// Serves one caller connection on a thread of the pool, then deletes itself.
+class CallerTask final : public Poco::Runnable {
 public:
-    CallerConnection(const Poco::Net::StreamSocket& socket, Gateway& owner, GatewayContext& shared)
-        : Poco::Net::TCPServerConnection(socket)
+    CallerTask(const Poco::Net::StreamSocket& connected, Gateway& owner, GatewayContext& shared)
+        : socket(connected)
         , gateway(owner)
         , parts(shared)
     {
+        ++this->gateway.openConnections;
     }
+    ~CallerTask() override { --this->gateway.openConnections; }
+    CallerTask(const CallerTask&) = delete;
+    CallerTask& operator=(const CallerTask&) = delete;
 
     void run() override
     {
+        std::unique_ptr<CallerTask> self(this);
         try {
-            CallerSession session(this->parts, this->socket());
+            CallerSession session(this->parts, this->socket);
             SessionRegistration guard(this->gateway, session);
             session.run();
         } catch (const std::exception& error) {
@@ -85,30 +92,11 @@
     }
 
 private:
+    Poco::Net::StreamSocket socket;
     Gateway& gateway;
     GatewayContext& parts;
 };
 
-class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory {
-public:
-    ConnectionFactory(Gateway& owner, GatewayContext& shared)
-        : gateway(owner)
-        , parts(shared)
-    {
-    }
-
-    Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override
-    {
-        return new CallerConnection(socket, this->gateway, this->parts);
-    }
-
-private:
-    Gateway& gateway;
-    GatewayContext& parts;
-};
-
-} // namespace
-
 Gateway::Gateway(GatewaySettings gatewaySettings, GatewayContext& shared)
     : settings(std::move(gatewaySettings))
     , parts(shared)
@@ -123,15 +111,42 @@
 
 void Gateway::start()
 {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(this->settings.address), true, false);
-    socket.listen(listenBacklog);
-    Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
-    params->setMaxThreads(this->settings.maxConnections);
-    params->setMaxQueued(this->settings.maxConnections);
-    this->server = std::make_unique<Poco::Net::TCPServer>(
-        new ConnectionFactory(*this, this->parts), this->threads, socket, params);
-    this->server->start();
+    this->listener.bind(Poco::Net::SocketAddress(this->settings.address), true, false);
+    this->listener.listen(listenBacklog);
+    this->acceptor = std::thread([this] { this->acceptConnections(); });
+}
+
+// Accepts connections until `stop`. Those that callers have opened by then are accepted too: closing the listener would
+// reset them, although their callers may have sent a request.
+void Gateway::acceptConnections()
+{
+    for (;;) {
+        bool lastRound = this->stopping;
+        try {
+            if (this->listener.poll(lastRound ? Poco::Timespan(0) : acceptTimeout, Poco::Net::Socket::SELECT_READ))
+                this->serve(this->listener.acceptConnection());
+            else if (lastRound)
+                break;
+        } catch (const std::exception& error) { // out of file descriptors, or the caller has already left
+            LogLine(LogLevel::Warning, "accept_failed").field("error", error.what()).write();
+            if (lastRound)
+                break;
+            std::this_thread::sleep_for(acceptRetryInterval);
+        }
+    }
+    this->listener.close();
+}
+
+void Gateway::serve(const Poco::Net::StreamSocket& socket)
+{
+    auto task = std::make_unique<CallerTask>(socket, *this, this->parts);
+    try {
+        this->threads.start(*task);
+        task.release(); // deletes itself
+    } catch (const Poco::NoThreadAvailableException&) {
+        // The connection is closed unread, so that the caller may repeat any request on another node.
+        LogLine(LogLevel::Warning, "connection_limit").field("connections", this->connections()).write();
+    }
 }
 
 void Gateway::drain()
@@ -141,9 +156,10 @@
 
 void Gateway::stop(Duration timeout)
 {
-    if (!this->server)
+    if (!this->acceptor.joinable())
         return;
-    this->server->stop();
+    this->stopping = true;
+    this->acceptor.join();
     TimePoint end = this->parts.clock.now() + timeout;
     while (this->connections() > 0 && this->parts.clock.now() < end) {
         this->closeIdleConnections();
@@ -155,12 +171,6 @@
         LogLine(LogLevel::Warning, "calls_cut_at_stop").field("connections", left).write();
 }
 
-std::size_t Gateway::connections() const
-{
-    std::lock_guard lock(this->mutex);
-    return this->sessions.size();
-}
-
 void Gateway::closeIdleConnections()
 {
     std::lock_guard lock(this->mutex);
--- a/lovagecross/gateway/Gateway.h
+++ b/lovagecross/gateway/Gateway.h
@@ -5,20 +5,20 @@
 //     Gateway gateway(settings, parts);
 //     gateway.start();
 //     gateway.drain();                          // responses close their connections from now on
-//     gateway.stop(std::chrono::seconds(5));    // accepts no connections and waits for running calls
+//     gateway.stop(std::chrono::seconds(5));    // closes the listener and waits for running calls
 //
 // Thread safety: every member may be called from any thread; `start` and `stop` once each.
 
 #include "lovagecross/gateway/GatewayContext.h"
 
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/ThreadPool.h>
 #include <atomic>
-#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
+#include <thread>
 
 namespace lovagecross {
 
@@ -42,20 +42,28 @@
     // From now on, responses ask callers to close the connection.
     void drain();
 
-    // Accepts no more connections, closes idle ones and waits at most `timeout` for running calls.
+    // Serves the connections that callers have already opened, refuses new ones, closes idle ones and waits at most
+    // `timeout` for running calls.
     void stop(Duration timeout);
 
-    std::size_t connections() const;
+    // Number of open connections, accepted ones that wait for their thread included.
+    std::size_t connections() const { return this->openConnections; }
 
 private:
     friend class SessionRegistration;
+    friend class CallerTask;
 
+    void acceptConnections();
+    void serve(const Poco::Net::StreamSocket& socket);
     void closeIdleConnections();
 
     const GatewaySettings settings;
     GatewayContext& parts;
     Poco::ThreadPool threads;
-    std::unique_ptr<Poco::Net::TCPServer> server;
+    Poco::Net::ServerSocket listener;
+    std::thread acceptor;
+    std::atomic<bool> stopping { false };
+    std::atomic<std::size_t> openConnections { 0 };
     mutable std::mutex mutex;
     std::set<CallerSession*> sessions;
 };
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(configurationMayChangeDuringACall);
     CPPUNIT_TEST(drainingClosesConnectionAfterResponse);
     CPPUNIT_TEST(unansweredRequestDuringCloseIsNotForwarded);
+    CPPUNIT_TEST(connectionAfterTheStopIsRefusedAtOnce);
+    CPPUNIT_TEST(connectionsOpenedBeforeTheStopAreServed);
     CPPUNIT_TEST_SUITE_END();
 
     void callPassesThroughUnchanged()
@@ -353,6 +355,49 @@
         CPPUNIT_ASSERT_EQUAL(contains(response, "done") ? 1 : 0, ran.load());
         CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
     }
+
+    // Guards against a listener that stays open while the last calls end: its connections would never be answered.
+    void connectionAfterTheStopIsRefusedAtOnce()
+    {
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            std::this_thread::sleep_for(milliseconds(1200));
+            return connection.write(signedResponse(request, "done"));
+        });
+        CallerSocket caller(this->address);
+        caller.write(get("/safe/", "r1"));
+        std::this_thread::sleep_for(milliseconds(50));
+        std::thread stopper([this] { this->gateway->stop(std::chrono::seconds(5)); });
+        std::this_thread::sleep_for(milliseconds(500));
+        bool refused = false;
+        try {
+            CallerSocket late(this->address);
+        } catch (const Poco::Exception&) {
+            refused = true;
+        }
+        std::string response = caller.readResponse();
+        stopper.join();
+        CPPUNIT_ASSERT(refused);
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
+    }
+
+    // Guards against connections that are cut between their arrival in the listen queue and the first read.
+    void connectionsOpenedBeforeTheStopAreServed()
+    {
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            return connection.write(signedResponse(request, "done"));
+        });
+        std::vector<std::unique_ptr<CallerSocket>> callers;
+        for (int i = 0; i < 40; ++i) {
+            callers.push_back(std::make_unique<CallerSocket>(this->address));
+            callers.back()->write(get("/safe/", "r" + std::to_string(i)));
+        }
+        this->gateway->drain();
+        this->gateway->stop(std::chrono::seconds(5));
+        for (const auto& caller : callers) {
+            std::string response = caller->readResponse();
+            CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
