An unexpected error in a background thread no longer ends the process

Cause: the threads that follow the platform, maintain a record node, follow the roster and serve other nodes' messages ran their steps without a handler, so one exception ended the process with all its calls. The threads of the mode with programs (runtime/) were not changed.

--- a/lovagecross/adapters/WorkerPool.cpp
+++ b/lovagecross/adapters/WorkerPool.cpp
@@ -1,5 +1,7 @@
 #include "lovagecross/adapters/WorkerPool.h"
 
+#include "lovagecross/adapters/GuardedStep.h"
+
 #include <system_error>
 
 namespace lovagecross::detail {
@@ -53,7 +55,7 @@
         this->tasks.pop_front();
         --this->idleThreads;
         lock.unlock();
-        task();
+        runGuarded("peer_worker", task);
         task = nullptr;
         lock.lock();
         ++this->idleThreads;
--- a/lovagecross/adapters/WorkerPool.h
+++ b/lovagecross/adapters/WorkerPool.h
@@ -2,7 +2,8 @@
 
 // A thread pool with one bounded task queue. Internal to the adapters.
 //
-// Starts a new thread, up to the limit, when a task is posted and no thread is idle. Tasks must not throw.
+// Starts a new thread, up to the limit, when a task is posted and no thread is idle. An exception of a task is
+// logged.
 //
 // Thread safety: every member may be called from any thread.
 
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -1,5 +1,6 @@
 #include "lovagecross/records/RecordClient.h"
 
+#include "lovagecross/adapters/GuardedStep.h"
 #include "lovagecross/adapters/Log.h"
 
 #include <algorithm>
@@ -106,10 +107,12 @@
             || this->tracker.reachability() == Reachability::Partitioned;
         bool refresh = now >= this->nextRosterRefresh;
         lock.unlock();
-        if (refresh)
-            this->updateRoster();
-        if (unreachable)
-            this->probe();
+        runGuarded("record_client", [&] {
+            if (refresh)
+                this->updateRoster();
+            if (unreachable)
+                this->probe();
+        });
         lock.lock();
         now = this->parts.clock.now();
         if (refresh)
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -1,5 +1,6 @@
 // Background maintenance of a record node: roster changes, fetching of missing records, and records at the platform.
 
+#include "lovagecross/adapters/GuardedStep.h"
 #include "lovagecross/adapters/Log.h"
 #include "lovagecross/records/RecordNode.h"
 
@@ -36,7 +37,7 @@
     while (!this->stopping) {
         this->wakeRequested = false;
         lock.unlock();
-        this->maintain();
+        runGuarded("records", [this] { this->maintain(); });
         lock.lock();
         this->wake.wait_for(lock, maintainInterval, [this] { return this->stopping || this->wakeRequested; });
     }
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -6,11 +6,13 @@
 
 #include <Poco/File.h>
 #include <Poco/TemporaryFile.h>
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <thread>
 
 namespace lovagecross {
@@ -110,6 +112,44 @@
     const std::string own;
 };
 
+// Throws from each read while `failing` is set.
+class ThrowingStore final : public ObjectStore {
+public:
+    explicit ThrowingStore(ObjectStore& wrappedStore)
+        : store(wrappedStore)
+    {
+    }
+
+    StoreResult get(std::string_view key) override
+    {
+        if (this->failing) {
+            ++this->failures;
+            throw std::runtime_error("unexpected");
+        }
+        return this->store.get(key);
+    }
+    StoreResult create(std::string_view key, std::string_view value) override { return this->store.create(key, value); }
+    StoreResult update(std::string_view key, std::string_view value, std::uint64_t expectedVersion) override
+    {
+        return this->store.update(key, value, expectedVersion);
+    }
+    StoreResult remove(std::string_view key, std::uint64_t expectedVersion) override
+    {
+        return this->store.remove(key, expectedVersion);
+    }
+    ListResult list(std::string_view prefix, bool withValues) override { return this->store.list(prefix, withValues); }
+    StoreResult watch(std::string_view key, std::uint64_t knownVersion, Duration timeout) override
+    {
+        return this->store.watch(key, knownVersion, timeout);
+    }
+
+    std::atomic<bool> failing { false };
+    std::atomic<int> failures { 0 };
+
+private:
+    ObjectStore& store;
+};
+
 // A record node that can be stopped and started, and whose disk can be wiped.
 class TestNode {
 public:
@@ -197,6 +237,7 @@
     CPPUNIT_TEST(goneNodeIsRemovedFromTheRoster);
     CPPUNIT_TEST(turnsAtThePlatformComeToTheDisks);
     CPPUNIT_TEST(servesAgainAfterMoreLossesThanTolerated);
+    CPPUNIT_TEST(unexpectedErrorDoesNotEndANode);
     CPPUNIT_TEST_SUITE_END();
 
     LoopbackNetwork network;
@@ -608,6 +649,18 @@
         this->client->settle({ "program", "r1", 900, 1000, std::chrono::seconds(60) }, 100);
         CPPUNIT_ASSERT(this->reserve("r3", 900) == GrantStatus::Granted);
     }
+
+    // Guards against one unexpected exception in the maintenance of a node that ends the whole process.
+    void unexpectedErrorDoesNotEndANode()
+    {
+        ThrowingStore throwing(this->store);
+        throwing.failing = true;
+        TestNode joining("n7004", "c", this->network, throwing);
+        joining.start(false);
+        CPPUNIT_ASSERT(waitFor([&] { return throwing.failures > 2; }));
+        throwing.failing = false;
+        CPPUNIT_ASSERT(waitFor([&] { return joining.node->ready(); }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordStoreTest);
