Nodes that start together no longer join in lockstep or read the platform each

Cause: record nodes that start at once tried to join every 200 ms together, with two reads and one write each, and one of them succeeded at a time: with 10 nodes 137 of 179 platform calls of the first two seconds, growing with the square of the nodes. A starting node also read configuration and registry itself until it found a publisher. Change: a random delay of up to 500 ms before the first attempt of a fleet's start and after each attempt; one read an attempt; a node waits 2 s at the first start and 0.4 s at a restart for the record nodes that read for all before it reads itself.

--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -37,6 +37,10 @@
 constexpr Duration balancerDetectionTime = milliseconds(2600);
 // Part of the grace period (graceMillis) that is reserved for shutting down after the last call has ended.
 constexpr Duration shutdownReserve = milliseconds(500);
+// When all nodes of a fleet start at once, each reading the platform itself would be thousands of calls. A node leaves
+// the record nodes that read for all this time to become reachable before it reads the platform itself.
+constexpr Duration firstStartReadDelay = std::chrono::seconds(2);
+constexpr Duration restartReadDelay = milliseconds(400);
 // A record node that reads the registry from the platform asks the other record nodes once its copy is older than this.
 constexpr Duration maxOwnRegistryAge = milliseconds(900);
 constexpr Duration registryAgeCheckInterval = milliseconds(300);
@@ -164,9 +168,13 @@
         , peers(peerSettings(given), this->counters)
         , directory(this->clock)
         , recordParts { this->clock, this->api, this->peers, this->counters }
+        , ownReadsFrom(this->clock.now() + (given.firstStart ? firstStartReadDelay : restartReadDelay))
     {
     }
 
+    // Returns whether this node may read what record nodes read for all.
+    bool mayReadForItself() const { return this->clock.now() >= this->ownReadsFrom; }
+
     const NodeSettings& settings;
     SystemClock clock;
     Counters counters;
@@ -174,6 +182,7 @@
     ZmqPeers peers;
     Directory directory;
     RecordNodeParts recordParts;
+    const TimePoint ownReadsFrom;
 };
 
 class EntryNode {
@@ -187,8 +196,8 @@
             this->records, GatewayCounters(this->base.counters) }
         , gateway({ settings.callerAddress, maxConnections(settings) }, this->parts)
         , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock)
-        , directoryFeed(
-              this->base.api, this->base.directory, this->base.clock, [this] { return !this->follower.upToDate(); })
+        , directoryFeed(this->base.api, this->base.directory, this->base.clock,
+              [this] { return !this->follower.upToDate() && this->base.mayReadForItself(); })
         , messageHandler(
               this->base.directory, [this](const RecordRequest& request) { return this->handleRecordRequest(request); })
     {
@@ -321,7 +330,7 @@
         , records(nodeSettings(settings), this->base.recordParts)
         , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock)
         , directoryFeed(this->base.api, this->base.directory, this->base.clock,
-              [this] { return this->readsPlatform() || !this->follower.upToDate(); })
+              [this] { return this->isPublisher() || (!this->follower.upToDate() && this->base.mayReadForItself()); })
         , retirementFeed(this->base.api, this->records, settings.node)
         , messageHandler(
               this->base.directory, [this](const RecordRequest& request) { return this->records.handle(request); })
@@ -370,17 +379,18 @@
         return publishersOf(this->records.roster(), this->base.settings.dataCentre);
     }
 
-    bool readsPlatform() const
+    // Returns whether this node reads the platform for all nodes of its data centre.
+    bool isPublisher() const
     {
         std::vector<std::string> all = this->publishers();
-        return all.empty() || all.front() == this->base.settings.advertisedAddress;
+        return !all.empty() && all.front() == this->base.settings.advertisedAddress;
     }
 
     Duration updateDirectory()
     {
         // A record node whose own platform reads fail gets the configuration and the registry from the others.
         bool stale = this->base.directory.registryAge() > maxOwnRegistryAge;
-        if (this->readsPlatform() && !stale)
+        if (this->isPublisher() && !stale)
             return registryAgeCheckInterval;
         std::vector<std::string> others = this->publishers();
         std::erase(others, this->base.settings.advertisedAddress);
--- a/lovagecross/records/RecordNode.cpp
+++ b/lovagecross/records/RecordNode.cpp
@@ -78,6 +78,8 @@
 
 void RecordNode::start()
 {
+    if (this->settings.firstStart)
+        this->nextJoin = this->parts.clock.now() + this->randomJoinDelay();
     this->thread = std::thread([this] { this->run(); });
 }
 
--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -33,6 +33,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -118,6 +119,7 @@
     StoreStatus refreshRoster();
     bool adopt(const Roster& next, bool nothingToFetch);
     void join();
+    Duration randomJoinDelay();
     bool writeRoster(const Roster& next, std::uint64_t version);
     std::vector<std::string> unreachableMembers(const Roster& current);
     void fill();
@@ -156,6 +158,8 @@
     };
     std::map<std::string, Cursor> cursors; // keyed by peer address; used by the maintenance thread only
     std::uint64_t rosterVersion = 0; // of the roster's object at the platform; used by the maintenance thread only
+    std::mt19937_64 random { std::random_device {}() }; // used by the maintenance thread only
+    TimePoint nextJoin;
     TimePoint nextRefresh;
     TimePoint nextNewerEpochRefresh;
     std::atomic<bool> newerEpochSeen { false }; // a request named an epoch that this node doesn't know yet
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration maintainInterval = milliseconds(200);
+constexpr Duration maxJoinDelay = milliseconds(500);
 // The node that changes the roster announces it. The interval is for members that missed the announcement and get no
 // requests for the new epoch; a short one would make the platform's calls grow with the number of members.
 constexpr Duration refreshInterval = std::chrono::seconds(20);
@@ -39,7 +40,10 @@
         lock.unlock();
         runGuarded("records", [this] { this->maintain(); });
         lock.lock();
-        this->wake.wait_for(lock, maintainInterval, [this] { return this->stopping || this->wakeRequested; });
+        Duration pause
+            = std::clamp<Duration>(this->nextJoin - this->parts.clock.now(), milliseconds(1), maintainInterval);
+        this->wake.wait_for(lock, this->maintenanceState().member ? maintainInterval : pause,
+            [this] { return this->stopping || this->wakeRequested; });
     }
 }
 
@@ -55,7 +59,7 @@
     auto [member, leaving, filled] = this->maintenanceState();
     if (leaving)
         this->leave();
-    else if (!member && !this->retired())
+    else if (!member && !this->retired() && now >= this->nextJoin)
         this->join();
     else if (!filled)
         this->fill();
@@ -69,8 +73,7 @@
 
 bool RecordNode::refreshIsDue(TimePoint now) const
 {
-    return now >= this->nextRefresh || (this->newerEpochSeen && now >= this->nextNewerEpochRefresh)
-        || !this->maintenanceState().member;
+    return now >= this->nextRefresh || (this->newerEpochSeen && now >= this->nextNewerEpochRefresh);
 }
 
 RecordNode::MaintenanceState RecordNode::maintenanceState() const
@@ -206,8 +209,9 @@
 // records that it will have to hold.
 void RecordNode::join()
 {
+    this->nextJoin = this->parts.clock.now() + this->randomJoinDelay();
     StoreStatus status = this->refreshRoster();
-    if (status != StoreStatus::Ok && status != StoreStatus::NotFound)
+    if ((status != StoreStatus::Ok && status != StoreStatus::NotFound) || this->maintenanceState().member)
         return;
     Roster before = this->roster();
     RosterMember self { this->settings.node, this->disk, this->settings.address, this->settings.dataCentre };
@@ -240,6 +244,14 @@
     this->wakeRequested = true;
 }
 
+// Returns a random delay before an attempt to join. When a whole fleet starts at once, or an attempt has lost against
+// another node's, simultaneous attempts would let only one node succeed at a time.
+Duration RecordNode::randomJoinDelay()
+{
+    std::uniform_int_distribution<std::int64_t> millis(0, toMillis(maxJoinDelay));
+    return milliseconds(millis(this->random));
+}
+
 bool RecordNode::writeRoster(const Roster& next, std::uint64_t version)
 {
     StoreResult written = version == 0 ? this->parts.store.create(rosterKey, printRoster(next))
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -6,6 +6,7 @@
 
 #include <Poco/File.h>
 #include <Poco/TemporaryFile.h>
+#include <algorithm>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
@@ -112,10 +113,10 @@
     const std::string own;
 };
 
-// Throws from each read while `failing` is set.
-class ThrowingStore final : public ObjectStore {
+// Counts calls and makes each take as long as a call to the platform. Throws from each read while `failing` is set.
+class ProbedStore final : public ObjectStore {
 public:
-    explicit ThrowingStore(ObjectStore& wrappedStore)
+    explicit ProbedStore(ObjectStore& wrappedStore)
         : store(wrappedStore)
     {
     }
@@ -126,11 +127,17 @@
             ++this->failures;
             throw std::runtime_error("unexpected");
         }
+        this->recordCall();
         return this->store.get(key);
     }
-    StoreResult create(std::string_view key, std::string_view value) override { return this->store.create(key, value); }
+    StoreResult create(std::string_view key, std::string_view value) override
+    {
+        this->recordCall();
+        return this->store.create(key, value);
+    }
     StoreResult update(std::string_view key, std::string_view value, std::uint64_t expectedVersion) override
     {
+        this->recordCall();
         return this->store.update(key, value, expectedVersion);
     }
     StoreResult remove(std::string_view key, std::uint64_t expectedVersion) override
@@ -145,8 +152,15 @@
 
     std::atomic<bool> failing { false };
     std::atomic<int> failures { 0 };
+    std::atomic<int> calls { 0 };
 
 private:
+    void recordCall()
+    {
+        ++this->calls;
+        std::this_thread::sleep_for(milliseconds(4));
+    }
+
     ObjectStore& store;
 };
 
@@ -238,6 +252,7 @@
     CPPUNIT_TEST(turnsAtThePlatformComeToTheDisks);
     CPPUNIT_TEST(servesAgainAfterMoreLossesThanTolerated);
     CPPUNIT_TEST(unexpectedErrorDoesNotEndANode);
+    CPPUNIT_TEST(nodesThatStartTogetherJoinWithFewCalls);
     CPPUNIT_TEST_SUITE_END();
 
     LoopbackNetwork network;
@@ -650,10 +665,32 @@
         CPPUNIT_ASSERT(this->reserve("r3", 900) == GrantStatus::Granted);
     }
 
+    // Guards against joins in lockstep, of which one succeeds at a time: calls and time then grow with the square of
+    // the number of nodes.
+    void nodesThatStartTogetherJoinWithFewCalls()
+    {
+        constexpr int count = 12;
+        constexpr int mostCallsPerNode = 7;
+        InMemoryObjectStore empty;
+        ProbedStore counted(empty);
+        LoopbackNetwork ownNetwork;
+        std::vector<std::unique_ptr<TestNode>> joining;
+        for (int i = 0; i < count; ++i)
+            joining.push_back(std::make_unique<TestNode>(
+                "n" + std::to_string(8001 + i), std::string(1, static_cast<char>('a' + i % 3)), ownNetwork, counted));
+        for (const auto& node : joining)
+            node->start(true);
+        CPPUNIT_ASSERT(waitFor([&] {
+            return std::all_of(joining.begin(), joining.end(),
+                [](const auto& node) { return node->node->roster().members.size() == std::size_t(count); });
+        }));
+        CPPUNIT_ASSERT(counted.calls <= count * mostCallsPerNode);
+    }
+
     // Guards against one unexpected exception in the maintenance of a node that ends the whole process.
     void unexpectedErrorDoesNotEndANode()
     {
-        ThrowingStore throwing(this->store);
+        ProbedStore throwing(this->store);
         throwing.failing = true;
         TestNode joining("n7004", "c", this->network, throwing);
         joining.start(false);
--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t maxPublishersPerStep = 3;
-constexpr Duration pauseAfterFailure = std::chrono::milliseconds(200);
+constexpr Duration pauseAfterFailure = std::chrono::milliseconds(100);
 
 ServerEntry fromMessage(const DirectoryServer& message)
 {
