A leaving record node asks the others at intervals again

Change: only a node that waits to join uses that time. A settlement also checks that it has a grant's epoch before it compares it.

--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -418,7 +418,8 @@
     RecordCall call { encodeRecordRequest(SettleRequest { std::move(reservation) }) };
     Roster roster = this->roster();
     auto replicas = this->replicasNearFirst(roster, request.program);
-    if (this->takeFirstWaveGrant(request.requestId) == roster.epoch)
+    std::uint64_t grantEpoch = this->takeFirstWaveGrant(request.requestId);
+    if (grantEpoch != 0 && grantEpoch == roster.epoch)
         replicas.resize(majorityOf(replicas.size()));
     for (const RosterMember* replica : replicas)
         this->parts.peers.notify(replica->address, call);
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -40,10 +40,12 @@
         lock.unlock();
         runGuarded("records", [this] { this->maintain(); });
         lock.lock();
-        Duration pause
+        MaintenanceState state = this->maintenanceState();
+        bool waitsToJoin = !state.member && !state.leaving && !this->retired();
+        Duration untilJoin
             = std::clamp<Duration>(this->nextJoin - this->parts.clock.now(), milliseconds(1), maintainInterval);
-        this->wake.wait_for(lock, this->maintenanceState().member ? maintainInterval : pause,
-            [this] { return this->stopping || this->wakeRequested; });
+        this->wake.wait_for(
+            lock, waitsToJoin ? untilJoin : maintainInterval, [this] { return this->stopping || this->wakeRequested; });
     }
 }
 
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -46,6 +46,7 @@
         RecordNode* node = nullptr;
         {
             std::lock_guard lock(this->mutex);
+            ++this->attemptsBySender[from];
             auto found = this->nodes.find(address);
             bool reachable
                 = this->partitionedAddresses.count(address) == 0 && this->partitionedAddresses.count(from) == 0;
@@ -63,6 +64,13 @@
         return { PeerStatus::Ok, RecordReply { encodeRecordResponse(node->handle(*message)) } };
     }
 
+    // Returns how many requests a node or the client has tried to send.
+    int attemptsOf(const std::string& address)
+    {
+        std::lock_guard lock(this->mutex);
+        return this->attemptsBySender[address];
+    }
+
     // Returns how many requests of one type the client has sent.
     template <typename Request> int requestsOfClient()
     {
@@ -72,6 +80,7 @@
 
 private:
     std::mutex mutex;
+    std::map<std::string, int> attemptsBySender;
     std::map<std::size_t, int> clientRequests; // by index of the request's type
     std::map<std::string, RecordNode*> nodes;
     std::set<std::string> partitionedAddresses;
@@ -253,6 +262,7 @@
     CPPUNIT_TEST(servesAgainAfterMoreLossesThanTolerated);
     CPPUNIT_TEST(unexpectedErrorDoesNotEndANode);
     CPPUNIT_TEST(nodesThatStartTogetherJoinWithFewCalls);
+    CPPUNIT_TEST(leavingNodeAsksTheOthersAtIntervals);
     CPPUNIT_TEST_SUITE_END();
 
     LoopbackNetwork network;
@@ -665,6 +675,20 @@
         CPPUNIT_ASSERT(this->reserve("r3", 900) == GrantStatus::Granted);
     }
 
+    // Guards against a node that asks without a pause while it waits for the others to fetch its records.
+    void leavingNodeAsksTheOthersAtIntervals()
+    {
+        const std::string& leaving = this->nodes[2]->settings.address;
+        this->network.setPartitioned(leaving, true);
+        this->nodes[2]->node->retire();
+        std::this_thread::sleep_for(milliseconds(200));
+        int before = this->network.attemptsOf(leaving);
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        constexpr int mostRounds = 10;
+        constexpr int requestsPerRound = 2 * 2; // two to each of two members
+        CPPUNIT_ASSERT(this->network.attemptsOf(leaving) - before <= mostRounds * requestsPerRound);
+    }
+
     // Guards against joins in lockstep, of which one succeeds at a time: calls and time then grow with the square of
     // the number of nodes.
     void nodesThatStartTogetherJoinWithFewCalls()
