--- a/lovagecross/gateway/Gateway.cpp
+++ b/lovagecross/gateway/Gateway.cpp
@@ -142,7 +142,7 @@
     auto task = std::make_unique<CallerTask>(socket, *this, this->parts);
     try {
         this->threads.start(*task);
-        task.release(); // deletes itself
+        [[maybe_unused]] CallerTask* running = task.release(); // deletes itself
     } catch (const Poco::NoThreadAvailableException&) {
         // The connection is closed unread, so that the caller may repeat any request on another node.
         LogLine(LogLevel::Warning, "connection_limit").field("connections", this->connections()).write();
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -699,6 +699,7 @@
         ProbedStore counted(empty);
         LoopbackNetwork ownNetwork;
         std::vector<std::unique_ptr<TestNode>> joining;
+        joining.reserve(count);
         for (int i = 0; i < count; ++i)
             joining.push_back(std::make_unique<TestNode>(
                 "n" + std::to_string(8001 + i), std::string(1, static_cast<char>('a' + i % 3)), ownNetwork, counted));
