A turn is not reported as missing by a node with an outdated roster

That node had read the roster while the record nodes were still joining, and a read counted "all members say no" over the members of that roster, although their answers named a newer one. Change: a read whose answers name a newer roster starts again with it; before a turn is reported as missing, the roster is read at the platform and must be the one that was asked. Result: turnIsFoundWithAnOutdatedRoster fails on the code before and passes.

--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <optional>
 #include <utility>
 
 namespace lovagecross {
@@ -32,6 +33,7 @@
 constexpr Duration readTimeout = milliseconds(500);
 constexpr Duration retryInterval = milliseconds(20);
 constexpr std::size_t maxChainTurns = 4096;
+constexpr int maxRosterChangesPerRead = 3; // then the caller is asked to retry
 
 // Margin added to the expiry of a record, since clocks differ and a turn must not expire while it is being continued.
 constexpr std::int64_t expiryMarginMillis = 60'000;
@@ -41,6 +43,23 @@
     return clock.unixMillis() + 2 * toMillis(retention) + expiryMarginMillis;
 }
 
+// Reads the newest roster from the platform. Returns nullopt if it can't be read.
+std::optional<Roster> readNewestRoster(ObjectStore& store)
+{
+    StoreResult stored = store.get(rosterKey);
+    if (!stored.ok())
+        return std::nullopt;
+    return handle(
+        [&]() -> Result<std::optional<Roster>> {
+            BOOST_LEAF_AUTO(roster, parseRoster(stored.object.value));
+            return std::optional<Roster>(std::move(roster));
+        },
+        [](const Error& error) {
+            LogLine(LogLevel::Error, "roster_unreadable").field("field", error.field).write();
+            return std::optional<Roster>();
+        });
+}
+
 } // namespace
 
 RecordClient::RecordClient(RecordClientSettings clientSettings, RecordNodeParts clientParts)
@@ -530,31 +549,42 @@
 bool RecordClient::readMissing(const std::string& id, const std::string& program, TimePoint deadline,
     std::map<std::string, StoredTurn>& found, bool& absent)
 {
-    Roster roster = this->roster();
-    auto replicas = replicasOf(roster, program, this->settings.tolerance);
-    std::vector<const RosterMember*> nearReplicas;
-    std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(nearReplicas),
-        [this](const RosterMember* member) { return member->dataCentre == this->settings.dataCentre; });
-    for (const auto& members : { nearReplicas, replicas }) {
-        if (!members.empty())
-            this->readFrom(roster, members, id, replicaReadTimeout, found);
+    for (int round = 0; round < maxRosterChangesPerRead; ++round) {
+        Roster roster = this->roster();
+        auto replicas = replicasOf(roster, program, this->settings.tolerance);
+        std::vector<const RosterMember*> nearReplicas;
+        std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(nearReplicas),
+            [this](const RosterMember* member) { return member->dataCentre == this->settings.dataCentre; });
+        for (const auto& members : { nearReplicas, replicas }) {
+            if (!members.empty())
+                this->readFrom(roster, members, id, replicaReadTimeout, found);
+            if (found.count(id) > 0)
+                return true;
+        }
+        std::vector<const RosterMember*> all;
+        for (const RosterMember& member : roster.members)
+            all.push_back(&member);
+        Duration timeout = std::min<Duration>(deadline - this->parts.clock.now(), readTimeout);
+        Answers answers = this->readFrom(roster, all, id, timeout, found);
         if (found.count(id) > 0)
             return true;
+        if (answers.epochOutdated)
+            continue; // members that joined since may hold the turn
+        StoredTurn turn;
+        TurnRead read = this->platform.readTurn(id, turn);
+        if (read == TurnRead::Found) {
+            found.emplace(id, std::move(turn));
+            return true;
+        }
+        if (read != TurnRead::Absent || all.empty() || answers.complete != all.size())
+            return false;
+        // The members that answered may be as outdated as this node.
+        auto newest = readNewestRoster(this->parts.store);
+        absent = newest && newest->epoch == roster.epoch;
+        if (absent || !newest)
+            return false;
+        this->adoptIfNewer(*newest);
     }
-    std::vector<const RosterMember*> all;
-    for (const RosterMember& member : roster.members)
-        all.push_back(&member);
-    Duration timeout = std::min<Duration>(deadline - this->parts.clock.now(), readTimeout);
-    Answers answers = this->readFrom(roster, all, id, timeout, found);
-    if (found.count(id) > 0)
-        return true;
-    StoredTurn turn;
-    TurnRead read = this->platform.readTurn(id, turn);
-    if (read == TurnRead::Found) {
-        found.emplace(id, std::move(turn));
-        return true;
-    }
-    absent = read == TurnRead::Absent && !all.empty() && answers.complete == all.size();
     return false;
 }
 
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -246,6 +246,7 @@
     CPPUNIT_TEST(unknownTurnIsAbsentOnlyWhenAllSaySo);
     CPPUNIT_TEST(continuedTurnIsReadFromOneNearReplica);
     CPPUNIT_TEST(turnIsFoundForAnotherProgram);
+    CPPUNIT_TEST(turnIsFoundWithAnOutdatedRoster);
     CPPUNIT_TEST(grantAsksOnlyAMajorityWhileItAnswers);
     CPPUNIT_TEST(settlementReachesEveryReplicaThatWasAsked);
     CPPUNIT_TEST(wipedNodeVotesOnlyAfterItHasFetchedAll);
@@ -419,6 +420,34 @@
         }
     }
 
+    // Returns a program none of whose replicas is a member of the roster that `other` knows.
+    std::string programWithoutReplicasOn(const RecordClient& other) const
+    {
+        Roster known = other.roster();
+        Roster newest = this->client->roster();
+        for (int i = 0;; ++i) {
+            std::string program = "program " + std::to_string(i);
+            auto replicas = replicasOf(newest, program, Tolerance {});
+            if (std::none_of(replicas.begin(), replicas.end(),
+                    [&](const RosterMember* member) { return known.find(member->node) != nullptr; }))
+                return program;
+        }
+    }
+
+    // Guards against a turn reported as missing by a node that knows only the first members of a fleet.
+    void turnIsFoundWithAnOutdatedRoster()
+    {
+        auto outdated = this->newClient(); // reads the roster again after seconds
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), outdated->roster().members.size());
+        this->growToNineNodes();
+        std::string program = this->programWithoutReplicasOn(*outdated);
+        CPPUNIT_ASSERT(
+            this->client->keep({ "t1", "", program, "in", "out", std::chrono::seconds(60) }, this->defaultDeadline()));
+        CPPUNIT_ASSERT(
+            outdated->readConversation("t1", program, this->defaultDeadline()).status == ConversationStatus::Found);
+        outdated->stop();
+    }
+
     // Guards against votes whose number is that of all replicas although a majority answers at once.
     void grantAsksOnlyAMajorityWhileItAnswers()
     {
