One reading of the roster's object, and a lock around the time of a caller's head

Cause: read again, the change parsed the platform's roster twice in RecordClient.cpp with the same log line, and closeIfIdle read the time of the last head without the lock under which it runs. Change: rosterOf serves both places; the time is written under the session's lock.

--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -136,7 +136,10 @@
         if (this->stream.receive() != IoStatus::Ok)
             return ReadResult::Closed;
     }
-    this->headArrivedAt = this->parts.clock.now();
+    {
+        std::lock_guard lock(this->idleMutex); // `closeIfIdle` reads it on another thread
+        this->headArrivedAt = this->parts.clock.now();
+    }
     end += headEnd.size();
     if (end > callerLimits.maxHeadBytes) {
         this->refuse(431, "the head is too long");
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -43,10 +43,9 @@
     return clock.unixMillis() + 2 * toMillis(retention) + expiryMarginMillis;
 }
 
-// Reads the newest roster from the platform. Returns nullopt if it can't be read.
-std::optional<Roster> readNewestRoster(ObjectStore& store)
+// Returns the roster of the platform's object. Returns nullopt, and logs an unreadable one, if there is none.
+std::optional<Roster> rosterOf(const StoreResult& stored)
 {
-    StoreResult stored = store.get(rosterKey);
     if (!stored.ok())
         return std::nullopt;
     return handle(
@@ -205,16 +204,8 @@
         this->requestRoster(members);
         return;
     }
-    handle(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(roster, parseRoster(stored.object.value));
-            this->adoptIfNewer(roster);
-            return true;
-        },
-        [&](const Error& error) {
-            LogLine(LogLevel::Error, "roster_unreadable").field("field", error.field).write();
-            return false;
-        });
+    if (auto roster = rosterOf(stored))
+        this->adoptIfNewer(*roster);
 }
 
 // Requests the roster from all addresses. Returns whether any response had one.
@@ -579,7 +570,7 @@
         if (read != TurnRead::Absent || all.empty() || answers.complete != all.size())
             return false;
         // The members that answered may be as outdated as this node.
-        auto newest = readNewestRoster(this->parts.store);
+        auto newest = rosterOf(this->parts.store.get(rosterKey));
         absent = newest && newest->epoch == roster.epoch;
         if (absent || !newest)
             return false;
