--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -7,6 +7,7 @@
 #include "lovagecross/daemon/Signals.h"
 #include "lovagecross/daemon/Version.h"
 #include "lovagecross/gateway/Gateway.h"
+#include "lovagecross/limits/PermitClient.h"
 #include "lovagecross/records/RecordClient.h"
 #include "lovagecross/records/RecordNode.h"
 #include "lovagecross/sharing/DirectoryFollower.h"
@@ -192,8 +193,9 @@
         , records(this->clientSettings(), this->base.recordParts)
         , serverBook(this->base.clock, settings.dataCentre)
         , pool(this->base.clock, connectTimeout)
+        , permits(this->base.clock)
         , parts { this->base.clock, this->base.directory, this->serverBook, this->pool, this->codec, this->records,
-            this->records, GatewayCounters(this->base.counters) }
+            this->records, this->permits, GatewayCounters(this->base.counters) }
         , gateway({ settings.callerAddress, maxConnections(settings) }, this->parts)
         , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock)
         , directoryFeed(this->base.api, this->base.directory, this->base.clock,
@@ -312,6 +314,7 @@
     RecordClient records;
     ServerStatistics serverBook;
     ConnectionPool pool;
+    PermitClient permits;
     platform::HeaderCodec codec;
     GatewayContext parts;
     Gateway gateway;
--- a/lovagecross/gateway/Call.h
+++ b/lovagecross/gateway/Call.h
@@ -52,6 +52,8 @@
     std::string requestId; // id of the request that the response belongs to
     bool signedByServer = false;
     bool notExecuted = false; // the server states that it did not run the request
+    std::optional<double> requestsPerSecond; // rate that the server accepts from all nodes together; nullopt: no limit
+    bool fromServer = true; // false: another server has its address and answered
 };
 
 class CallCodec {
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -219,6 +219,8 @@
         : this->deadline;
     ExchangeStatus end = exchange.start(this->makeRequest(found, server), headBy);
     TimePoint answeredAt = this->parts.clock.now();
+    if (end == ExchangeStatus::Ok && exchange.remarks().fromServer)
+        this->parts.permits.observe(server, exchange.remarks().requestsPerSecond, sentAt);
     AttemptOutcome outcome = AttemptOutcome::TryNextServer;
     CallOutcome callOutcome = CallOutcome::Answered;
     if (end != ExchangeStatus::Ok) {
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -8,6 +8,7 @@
 #include "lovagecross/gateway/Call.h"
 #include "lovagecross/gateway/ConnectionPool.h"
 #include "lovagecross/gateway/Directory.h"
+#include "lovagecross/gateway/Permits.h"
 #include "lovagecross/gateway/ServerStatistics.h"
 #include "lovagecross/gateway/Turns.h"
 
@@ -42,6 +43,7 @@
     const CallCodec& codec;
     TurnStore& turns;
     TokenBudgets& budgets;
+    ServerPermits& permits;
     GatewayCounters counters;
     std::atomic<bool> draining { false };
 };
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -59,7 +59,13 @@
     }
     ResponseMetadata decodeResponseMetadata(int, const HeaderList& headers) const override
     {
-        return { this->text(headers, "Id"), headers.has("Signed"), headers.has("Not-Executed") };
+        ResponseMetadata metadata;
+        metadata.requestId = this->text(headers, "Id");
+        metadata.signedByServer = headers.has("Signed");
+        metadata.notExecuted = headers.has("Not-Executed");
+        if (headers.has("Limit"))
+            metadata.requestsPerSecond = std::stod(this->text(headers, "Limit"));
+        return metadata;
     }
     HeaderList encodeResponseHeaders(const Call& call, std::optional<Duration> retryAfter) const override
     {
@@ -118,6 +124,12 @@
     std::uint64_t used = 0;
 };
 
+// No server has a limit.
+class UnlimitedServers final : public ServerPermits {
+public:
+    void observe(const ServerEntry&, std::optional<double>, TimePoint) override { }
+};
+
 inline std::string signedResponse(const ScriptedRequest& request, const std::string& body)
 {
     return "HTTP/1.1 200 OK\r\nId: " + request.header("Id")
@@ -199,7 +211,7 @@
         this->pool = std::make_unique<ConnectionPool>(this->clock, milliseconds(300));
         this->turns = std::make_unique<FakeTurns>();
         this->parts.reset(new GatewayContext { this->clock, *this->directory, *this->book, *this->pool, this->codec,
-            *this->turns, *this->turns, GatewayCounters(this->counters) });
+            *this->turns, *this->turns, this->permits(), GatewayCounters(this->counters) });
         Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
         this->address = probe.address().toString();
         probe.close();
@@ -217,6 +229,8 @@
     }
 
 protected:
+    virtual ServerPermits& permits() { return this->unlimitedServers; }
+
     static Route route(const std::string& prefix, CallKind kind, std::uint32_t attempts)
     {
         Route result;
@@ -304,6 +318,7 @@
     std::unique_ptr<ConnectionPool> pool;
     TestCodec codec;
     std::unique_ptr<FakeTurns> turns;
+    UnlimitedServers unlimitedServers;
     std::unique_ptr<GatewayContext> parts;
     std::unique_ptr<Gateway> gateway;
     std::string address;
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -241,7 +241,7 @@
         CPPUNIT_ASSERT(contains(this->sendRequest(get("/safe/", "r1")), "HTTP/1.1 503")); // no server is registered
         Directory empty(this->clock);
         GatewayContext unconfigured { this->clock, empty, *this->book, *this->pool, this->codec, *this->turns,
-            *this->turns, GatewayCounters(this->counters) };
+            *this->turns, this->permits(), GatewayCounters(this->counters) };
         Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
         std::string other = probe.address().toString();
         probe.close();
