Entry nodes share the limit that a server names through permits in fixed slices

What callers saw: nothing; the servers in need got up to 2.5 times what the rule allows (96 to 116 requests in 4 s, 39 to 63 allowed). Cause: entry nodes did not act on the limit. Had each kept it for itself, N nodes would have sent N limits. Change: the limit of a server is divided into equal slices, one for each replica of the server's name in the roster; each replica grants single permits from its slice (PermitIssuer, PermitSlice), and an entry node asks for one before each send (PermitClient, CallRunner). No agreement is needed, so the sum holds whichever nodes can't hear each other; a node that reaches no issuer sends only rare trials. Limits reach all nodes with the server list, so that a node knows them before its first call. Calls that don't fit go to other servers, or are refused at once with the time of the next permit; a stream that has begun waits.

--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -3,6 +3,7 @@
 #include "lovagecross/proto/peer.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace lovagecross::detail {
@@ -133,6 +134,50 @@
         && request.path.size() <= maxPathBytes;
 }
 
+void write(const RateLimitNotice& notice, proto::RateLimitNotice* out)
+{
+    out->set_server(notice.server);
+    out->set_started_unix_millis(notice.startedUnixMillis);
+    out->set_limited(notice.perSecond.has_value());
+    out->set_per_second(notice.perSecond.value_or(0));
+    out->set_age_nanos(notice.age.count());
+}
+
+// Whether the duration can be added to or subtracted from any time point.
+bool isSaneDuration(Duration duration)
+{
+    return duration >= Duration(0) && duration <= std::chrono::hours(24);
+}
+
+bool read(const proto::RateLimitNotice& in, RateLimitNotice& notice)
+{
+    notice.server = in.server();
+    notice.startedUnixMillis = in.started_unix_millis();
+    if (in.limited())
+        notice.perSecond = in.per_second();
+    notice.age = Duration(in.age_nanos());
+    return notice.server.size() <= maxIdBytes && std::isfinite(in.per_second()) && in.per_second() >= 0
+        && isSaneDuration(notice.age);
+}
+
+using RateLimitNotices = google::protobuf::RepeatedPtrField<proto::RateLimitNotice>;
+
+void write(const std::vector<RateLimitNotice>& notices, RateLimitNotices* out)
+{
+    for (const RateLimitNotice& notice : notices)
+        write(notice, out->Add());
+}
+
+bool read(const RateLimitNotices& in, std::vector<RateLimitNotice>& notices)
+{
+    notices.resize(static_cast<std::size_t>(in.size()));
+    for (int i = 0; i < in.size(); ++i) {
+        if (!read(in[i], notices[static_cast<std::size_t>(i)]))
+            return false;
+    }
+    return true;
+}
+
 void write(const DirectoryUpdate& update, proto::DirectoryUpdate* out)
 {
     out->set_registry_known(update.registryKnown);
@@ -140,6 +185,7 @@
     out->set_registry_revision(update.registryRevision);
     out->set_has_servers(update.hasServers);
     out->set_configuration_document(update.configurationDocument);
+    write(update.limits, out->mutable_limits());
     for (const DirectoryServer& server : update.servers) {
         proto::DirectoryServer* entry = out->add_servers();
         entry->set_id(server.id);
@@ -166,7 +212,7 @@
         update.servers.push_back({ entry.id(), entry.service(), entry.address(), entry.data_centre(), entry.slots(),
             entry.draining(), entry.cold_millis(), entry.started_unix_millis() });
     }
-    return update.registryAgeMillis >= 0;
+    return update.registryAgeMillis >= 0 && read(in.limits(), update.limits);
 }
 
 // One overload for each type of request and control message.
@@ -213,6 +259,15 @@
         this->out.mutable_directory_fetch()->set_configuration_version(fetch.configurationVersion);
         this->out.mutable_directory_fetch()->set_servers_digest(fetch.serversDigest);
     }
+    void operator()(const PermitRequest& request) const
+    {
+        write(request.known, this->out.mutable_permit_request()->mutable_known());
+    }
+    void operator()(const LimitReport& report) const
+    {
+        write(report.limits, this->out.mutable_limit_report()->mutable_limits());
+        this->out.mutable_limit_report()->set_relayed(report.relayed);
+    }
     void operator()(const ForwardCancel&) const { this->out.mutable_cancel(); }
     void operator()(const ForwardChunk& chunk) const
     {
@@ -285,6 +340,19 @@
         request
             = DirectoryFetch { in.directory_fetch().configuration_version(), in.directory_fetch().servers_digest() };
         return true;
+    case proto::Envelope::kPermitRequest: {
+        PermitRequest permit;
+        bool valid = read(in.permit_request().known(), permit.known);
+        request = std::move(permit);
+        return valid;
+    }
+    case proto::Envelope::kLimitReport: {
+        LimitReport report;
+        report.relayed = in.limit_report().relayed();
+        bool valid = read(in.limit_report().limits(), report.limits);
+        request = std::move(report);
+        return valid;
+    }
     default:
         return false;
     }
@@ -355,6 +423,13 @@
         this->out.mutable_end()->set_body_json(end.bodyJson);
     }
     void operator()(const DirectoryUpdate& update) const { write(update, this->out.mutable_directory_update()); }
+    void operator()(const PermitAnswer& permit) const
+    {
+        this->out.mutable_permit()->set_issuer(permit.issuer);
+        this->out.mutable_permit()->set_granted(permit.granted);
+        this->out.mutable_permit()->set_retry_after_nanos(permit.retryAfter.count());
+        write(permit.newest, this->out.mutable_permit()->mutable_newest());
+    }
     void operator()(const RecordReply& reply) const { this->out.mutable_record_reply()->set_content(reply.content); }
 };
 
@@ -413,6 +488,15 @@
     case proto::Answer::kRecordReply:
         answer = RecordReply { in.record_reply().content() };
         return true;
+    case proto::Answer::kPermit: {
+        PermitAnswer permit;
+        permit.issuer = in.permit().issuer();
+        permit.granted = in.permit().granted();
+        permit.retryAfter = Duration(in.permit().retry_after_nanos());
+        bool valid = read(in.permit().newest(), permit.newest) && isSaneDuration(permit.retryAfter);
+        answer = std::move(permit);
+        return valid;
+    }
     case proto::Answer::kDirectoryUpdate: {
         DirectoryUpdate update;
         bool valid = read(in.directory_update(), update);
@@ -482,6 +566,8 @@
         bool operator()(const ConfigFetch&) const { return std::holds_alternative<ConfigDocument>(this->answer); }
         bool operator()(const ForwardRequest&) const { return std::holds_alternative<ForwardEnd>(this->answer); }
         bool operator()(const DirectoryFetch&) const { return std::holds_alternative<DirectoryUpdate>(this->answer); }
+        bool operator()(const PermitRequest&) const { return std::holds_alternative<PermitAnswer>(this->answer); }
+        bool operator()(const LimitReport&) const { return std::holds_alternative<std::monostate>(this->answer); }
         bool operator()(const RecordCall&) const { return std::holds_alternative<RecordReply>(this->answer); }
     };
     return std::visit(Matcher { answer }, request);
--- a/lovagecross/adapters/PeerCodecTest.cpp
+++ b/lovagecross/adapters/PeerCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "lovagecross/adapters/PeerCodec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 #include <random>
 
 namespace lovagecross::detail {
@@ -9,6 +10,8 @@
     CPPUNIT_TEST_SUITE(PeerCodecTest);
     CPPUNIT_TEST(damagedMessagesDecodeToWellFormedOnesOrNothing);
     CPPUNIT_TEST(fullGossipMessageIsSmall);
+    CPPUNIT_TEST(permitMessagesSurviveEncoding);
+    CPPUNIT_TEST(rateLimitsThatMakeNoSenseAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     static Gossip fullGossip()
@@ -56,6 +59,33 @@
         CPPUNIT_ASSERT(decoded > trials / 10 && decoded < trials);
     }
 
+    // A limit that another node reads with another rate, age or end is not kept by all nodes together.
+    void permitMessagesSurviveEncoding()
+    {
+        RateLimitNotice limited { "i-7f", 17, 7.25, std::chrono::milliseconds(30) };
+        RateLimitNotice ended { "i-80", 18, std::nullopt, std::chrono::seconds(2) };
+        auto report = decodeEnvelope(encodeEnvelope({ { 1, 2 }, true, LimitReport { { limited, ended }, true } }));
+        CPPUNIT_ASSERT(report);
+        const auto& read = std::get<LimitReport>(std::get<PeerRequest>(report->body));
+        CPPUNIT_ASSERT(read.relayed && read.limits.size() == 2 && read.limits[0].perSecond == 7.25);
+        CPPUNIT_ASSERT(read.limits[0].server == "i-7f" && read.limits[0].startedUnixMillis == 17);
+        CPPUNIT_ASSERT(!read.limits[1].perSecond && read.limits[1].age == std::chrono::seconds(2));
+        auto answer = decodeAnswer(encodeAnswer(PermitAnswer { true, false, std::chrono::milliseconds(70), limited }));
+        CPPUNIT_ASSERT(answer);
+        const auto& permit = std::get<PermitAnswer>(*answer);
+        CPPUNIT_ASSERT(permit.issuer && !permit.granted && permit.retryAfter == std::chrono::milliseconds(70));
+        CPPUNIT_ASSERT(permit.newest.perSecond == 7.25);
+    }
+
+    // A negative rate or an endless time would disable the arithmetic that keeps the limit.
+    void rateLimitsThatMakeNoSenseAreRejected()
+    {
+        for (RateLimitNotice notice : { RateLimitNotice { "i", 0, -1.0, Duration(0) },
+                 RateLimitNotice { "i", 0, std::numeric_limits<double>::infinity(), Duration(0) },
+                 RateLimitNotice { "i", 0, 1.0, Duration(-1) }, RateLimitNotice { "i", 0, 1.0, Duration::max() } })
+            CPPUNIT_ASSERT(!decodeEnvelope(encodeEnvelope({ { 1, 2 }, false, PermitRequest { notice } })));
+    }
+
     // A node sends one gossip request and one gossip answer per second, and its budget is 5 KB/s. Measured: 1773 bytes.
     void fullGossipMessageIsSmall()
     {
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -8,6 +8,7 @@
 #include "lovagecross/daemon/Version.h"
 #include "lovagecross/gateway/Gateway.h"
 #include "lovagecross/limits/PermitClient.h"
+#include "lovagecross/limits/PermitIssuer.h"
 #include "lovagecross/records/RecordClient.h"
 #include "lovagecross/records/RecordNode.h"
 #include "lovagecross/sharing/DirectoryFollower.h"
@@ -136,19 +137,28 @@
     HttpListener listener;
 };
 
-// Answers directory fetches and record requests from other nodes.
+// Answers requests from other nodes: directory fetches, record requests and, with an issuer, requests for permits.
 class PeerMessageHandler final : public PeerHandler {
 public:
-    PeerMessageHandler(const Directory& ownDirectory, std::function<RecordResponse(const RecordRequest&)> answer)
+    PeerMessageHandler(const Directory& ownDirectory, std::function<RecordResponse(const RecordRequest&)> answer,
+        PermitIssuer* permitIssuer = nullptr)
         : directory(ownDirectory)
         , respond(std::move(answer))
+        , issuer(permitIssuer)
     {
     }
 
     PeerAnswer handlePeerRequest(const PeerRequest& request, const ChunkSink&) override
     {
         if (const auto* fetch = std::get_if<DirectoryFetch>(&request))
-            return answerDirectoryFetch(this->directory, *fetch);
+            return this->answerFetch(*fetch);
+        if (const auto* permit = std::get_if<PermitRequest>(&request))
+            return this->issuer != nullptr ? PeerAnswer(this->issuer->handle(*permit)) : std::monostate {};
+        if (const auto* report = std::get_if<LimitReport>(&request)) {
+            if (this->issuer != nullptr)
+                this->issuer->handle(*report);
+            return std::monostate {};
+        }
         const auto* call = std::get_if<RecordCall>(&request);
         auto message = call != nullptr ? decodeRecordRequest(call->content) : std::nullopt;
         if (!message)
@@ -157,8 +167,17 @@
     }
 
 private:
+    DirectoryUpdate answerFetch(const DirectoryFetch& fetch) const
+    {
+        DirectoryUpdate update = answerDirectoryFetch(this->directory, fetch);
+        if (this->issuer != nullptr)
+            update.limits = this->issuer->limits();
+        return update;
+    }
+
     const Directory& directory;
-    std::function<RecordResponse(const RecordRequest&)> respond;
+    const std::function<RecordResponse(const RecordRequest&)> respond;
+    PermitIssuer* const issuer;
 };
 
 // State that entry nodes and record nodes have in common.
@@ -193,11 +212,14 @@
         , records(this->clientSettings(), this->base.recordParts)
         , serverBook(this->base.clock, settings.dataCentre)
         , pool(this->base.clock, connectTimeout)
-        , permits(this->base.clock)
+        , permits(
+              this->base.clock, this->base.peers, [this](const std::string& id) { return this->issuersOf(id); },
+              this->base.counters)
         , parts { this->base.clock, this->base.directory, this->serverBook, this->pool, this->codec, this->records,
             this->records, this->permits, GatewayCounters(this->base.counters) }
         , gateway({ settings.callerAddress, maxConnections(settings) }, this->parts)
-        , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock)
+        , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock,
+              [this](const std::vector<RateLimitNotice>& limits) { this->permits.learn(limits); })
         , directoryFeed(this->base.api, this->base.directory, this->base.clock,
               [this] { return !this->follower.upToDate() && this->base.mayReadForItself(); })
         , messageHandler(
@@ -275,6 +297,19 @@
         return publishersOf(this->records.roster(), this->base.settings.dataCentre);
     }
 
+    // Returns the issuers of permits for a server, those of the own data centre first.
+    std::vector<std::string> issuersOf(const std::string& serverId) const
+    {
+        Roster roster = this->records.roster();
+        std::vector<const RosterMember*> issuers = replicasOf(roster, serverId, toleranceOf(this->base.settings));
+        std::stable_partition(issuers.begin(), issuers.end(),
+            [this](const RosterMember* member) { return member->dataCentre == this->base.settings.dataCentre; });
+        std::vector<std::string> addresses;
+        for (const RosterMember* member : issuers)
+            addresses.push_back(member->address);
+        return addresses;
+    }
+
     RecordResponse handleRecordRequest(const RecordRequest& request) const
     {
         RecordResponse response;
@@ -335,8 +370,10 @@
         , directoryFeed(this->base.api, this->base.directory, this->base.clock,
               [this] { return this->isPublisher() || (!this->follower.upToDate() && this->base.mayReadForItself()); })
         , retirementFeed(this->base.api, this->records, settings.node)
+        , issuer(this->base.clock, this->base.peers, this->slicePlacement(), this->base.counters)
         , messageHandler(
-              this->base.directory, [this](const RecordRequest& request) { return this->records.handle(request); })
+              this->base.directory, [this](const RecordRequest& request) { return this->records.handle(request); },
+              &this->issuer)
     {
     }
 
@@ -382,6 +419,25 @@
         return publishersOf(this->records.roster(), this->base.settings.dataCentre);
     }
 
+    SlicePlacement slicePlacement()
+    {
+        return { [this](const std::string& serverId) { return this->slicesOf(serverId); },
+            [this] {
+                std::vector<std::string> others = this->publishers();
+                std::erase(others, this->base.settings.advertisedAddress);
+                return others;
+            } };
+    }
+
+    std::size_t slicesOf(const std::string& serverId) const
+    {
+        Roster roster = this->records.roster();
+        std::vector<const RosterMember*> issuers = replicasOf(roster, serverId, toleranceOf(this->base.settings));
+        bool isIssuer = std::any_of(issuers.begin(), issuers.end(),
+            [this](const RosterMember* member) { return member->node == this->base.settings.node; });
+        return isIssuer ? issuers.size() : 0;
+    }
+
     // Returns whether this node reads the platform for all nodes of its data centre.
     bool isPublisher() const
     {
@@ -405,6 +461,7 @@
     DirectoryFollower follower;
     platform::DirectoryFeed directoryFeed;
     platform::RetirementFeed retirementFeed;
+    PermitIssuer issuer;
     PeerMessageHandler messageHandler;
     std::unique_ptr<StatusListener> metricsListener;
     platform::PollingThreads steps;
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -5,6 +5,7 @@
 #include "lovagecross/http/BodyDecoder.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 namespace lovagecross {
@@ -16,6 +17,9 @@
 constexpr std::size_t maxBufferedResponseBytes = 1024 * 1024; // limit for a response that is not a stream
 constexpr std::size_t maxEventBytes = 256 * 1024; // limit for one event of a stream
 constexpr std::uint32_t maxExtraSends = 2; // allows for servers that confirm that they did not run the call
+constexpr std::uint32_t deniedPermitsToAvoidLimits = 2; // servers without a rate limit are preferred from then on
+constexpr std::uint32_t maxDeniedPermits = 8;
+constexpr Duration maxPermitWait = milliseconds(1500); // since the last event, well before callers give up
 constexpr Duration minTimeToSend = milliseconds(5); // a call with less time before its deadline is not sent
 constexpr Duration shortRetryAfter = milliseconds(150);
 constexpr Duration longRetryAfter = milliseconds(400);
@@ -172,21 +176,74 @@
     else if (found.sticky && !this->call.affinityKey.empty())
         request.affinityHash = stableHash(this->call.affinityKey) | 1U;
     const std::uint32_t mostSends = found.maxAttempts + maxExtraSends;
+    const std::vector<ServerEntry>& servers = this->view->serversOf(service);
     AttemptOutcome outcome = AttemptOutcome::TryNextServer;
     while (outcome == AttemptOutcome::TryNextServer && this->sends < mostSends) {
         if (this->timeLeft() <= minTimeToSend)
             break;
-        auto chosen
-            = this->parts.book.choose(this->view->serversOf(service), request, this->call.prompt, this->triedServers);
-        if (!chosen)
+        auto chosen = this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
+        if (chosen && this->obtainPermit(*chosen)) {
+            this->triedServers.insert(chosen->id);
+            this->lastServer = chosen->id;
+            outcome = this->runAttempt(found, *chosen);
+        } else if ((!chosen || this->deniedPermits >= maxDeniedPermits) && !this->waitForPermit()) {
             break;
-        this->triedServers.insert(chosen->id);
-        this->lastServer = chosen->id;
-        outcome = this->runAttempt(found, *chosen);
+        }
     }
     return outcome;
 }
 
+// Returns the servers that have been tried and those whose permits are used up. After some denied permits, only servers
+// without a limit are tried, if there are any.
+std::set<std::string> CallRunner::serversToSkip(const std::vector<ServerEntry>& servers)
+{
+    std::set<std::string> skip = this->triedServers;
+    PermitOutlook outlook = this->parts.permits.outlook(servers);
+    for (const std::string& id : outlook.exhausted) {
+        if (skip.insert(id).second)
+            this->noteDeniedPermit(outlook.retryAfter);
+    }
+    if (this->deniedPermits < deniedPermitsToAvoidLimits)
+        return skip;
+    std::set<std::string> unlimitedOnly = skip;
+    unlimitedOnly.insert(outlook.limited.begin(), outlook.limited.end());
+    bool anyLeft = std::any_of(servers.begin(), servers.end(), [&](const ServerEntry& server) {
+        return server.state == ServerState::Ready && unlimitedOnly.count(server.id) == 0;
+    });
+    return anyLeft ? unlimitedOnly : skip;
+}
+
+bool CallRunner::obtainPermit(const ServerEntry& server)
+{
+    Permit permit = this->parts.permits.acquire(server, this->deadline);
+    if (permit.granted)
+        return true;
+    this->parts.book.finished(server, CallOutcome::Withheld, Duration(0), {});
+    ++this->deniedPermits;
+    this->noteDeniedPermit(permit.retryAfter);
+    return false;
+}
+
+// Waits for the next permit if the response has begun: to break it off costs the caller more than a pause. Returns
+// whether servers should be tried again.
+bool CallRunner::waitForPermit()
+{
+    if (!this->headWritten || !this->nextPermitIn)
+        return false;
+    TimePoint next = this->parts.clock.now() + *this->nextPermitIn;
+    if (next > std::min(this->deadline, this->lastEventAt + maxPermitWait))
+        return false;
+    std::this_thread::sleep_for(*this->nextPermitIn);
+    this->nextPermitIn.reset();
+    this->deniedPermits = 0;
+    return !this->caller.peerClosed();
+}
+
+void CallRunner::noteDeniedPermit(Duration retryAfter)
+{
+    this->nextPermitIn = this->nextPermitIn ? std::min(*this->nextPermitIn, retryAfter) : retryAfter;
+}
+
 ServerRequest CallRunner::makeRequest(const Route& found, const ServerEntry& server) const
 {
     ServerRequestFields order;
@@ -470,6 +527,8 @@
         this->logCall("broken_off", 0);
         return AfterCall::Close;
     }
+    if (this->mayHaveRun == 0 && this->sends == 0 && this->nextPermitIn)
+        return this->refuse(503, "the servers' rate limits are reached", this->nextPermitIn);
     if (this->mayHaveRun == 0)
         return this->refuse(
             503, this->refusals > 0 ? "the servers are full" : "no server can be reached", shortRetryAfter);
@@ -528,6 +587,8 @@
         .field("mayHaveRun", this->mayHaveRun)
         .field("refusals", this->refusals)
         .field("events", this->eventsWritten);
+    if (this->nextPermitIn)
+        line.field("deniedPermits", this->deniedPermits).field("nextPermitMs", toMillis(*this->nextPermitIn));
     if (this->resumptions > 0)
         line.field("resumptions", this->resumptions);
     if (!this->lastFailure.empty())
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -53,6 +53,10 @@
 
     AfterCall runRouted(const Route& route);
     AttemptOutcome runAttempts(const Route& route, const std::string& service);
+    std::set<std::string> serversToSkip(const std::vector<ServerEntry>& servers);
+    bool obtainPermit(const ServerEntry& server);
+    void noteDeniedPermit(Duration retryAfter);
+    bool waitForPermit();
     AttemptOutcome runAttempt(const Route& route, const ServerEntry& server);
     AttemptOutcome handleFailedExchange(const Route& route, ExchangeStatus end);
     AttemptOutcome handleResponse(const Route& route, ServerExchange& exchange);
@@ -98,6 +102,8 @@
     std::uint32_t sends = 0;
     std::uint32_t mayHaveRun = 0; // sends after which the server may have run the call
     std::uint32_t refusals = 0; // sends that the server confirmed it did not run
+    std::uint32_t deniedPermits = 0;
+    std::optional<Duration> nextPermitIn; // set if a server was passed over because its rate limit was reached
     std::string lastServer;
     std::string lastFailure;
     TimePoint firstSendAt;
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -128,6 +128,8 @@
 class UnlimitedServers final : public ServerPermits {
 public:
     void observe(const ServerEntry&, std::optional<double>, TimePoint) override { }
+    PermitOutlook outlook(const std::vector<ServerEntry>&) override { return {}; }
+    Permit acquire(const ServerEntry&, TimePoint) override { return {}; }
 };
 
 inline std::string signedResponse(const ScriptedRequest& request, const std::string& body)
--- a/lovagecross/gateway/ServerStatistics.cpp
+++ b/lovagecross/gateway/ServerStatistics.cpp
@@ -95,6 +95,7 @@
         stats.breaker.failed(now);
         break;
     case CallOutcome::Abandoned:
+    case CallOutcome::Withheld:
         break;
     }
 }
--- a/lovagecross/gateway/ServerStatistics.h
+++ b/lovagecross/gateway/ServerStatistics.h
@@ -34,13 +34,15 @@
     Refused, // the server was full or draining and did not run the call
     Failed, // no connection, no response, or a truncated or malformed response
     Abandoned, // the caller disconnected, so the outcome says nothing about the server
+    Withheld, // not sent, because the server's rate limit is reached
 };
 
-inline constexpr NameTable<CallOutcome, 4> callOutcomeNames { { {
+inline constexpr NameTable<CallOutcome, 5> callOutcomeNames { { {
     { CallOutcome::Answered, "answered" },
     { CallOutcome::Refused, "refused" },
     { CallOutcome::Failed, "failed" },
     { CallOutcome::Abandoned, "abandoned" },
+    { CallOutcome::Withheld, "withheld" },
 } } };
 
 class ServerStatistics {
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -133,6 +134,32 @@
     std::string content;
 };
 
+// What an answer of a backend server said about the request rate that it accepts from all nodes together.
+struct RateLimitNotice {
+    std::string server;
+    std::int64_t startedUnixMillis = 0;
+    std::optional<double> perSecond; // nullopt: the server no longer names a limit
+    Duration age { 0 }; // of that answer when the message was sent
+};
+
+// Asks for the permission to send one request to a backend server that names a rate limit.
+struct PermitRequest {
+    RateLimitNotice known;
+};
+
+struct PermitAnswer {
+    bool issuer = false; // whether the answering node issues permits for the server at all
+    bool granted = false;
+    Duration retryAfter { 0 }; // if not granted
+    RateLimitNotice newest; // what the answering node knows of the limit
+};
+
+// Tells the nodes that issue permits, or with `relayed` all record nodes, of limits that began, changed or ended.
+struct LimitReport {
+    std::vector<RateLimitNotice> limits;
+    bool relayed = false;
+};
+
 // Requests registry changes from a node that reads the registry: everything that differs from the requester's state.
 struct DirectoryFetch {
     std::uint64_t configurationVersion = 0; // 0 if the requester has no configuration
@@ -157,12 +184,13 @@
     bool hasServers = false; // true: `servers` is the complete list; false: unchanged if `registryKnown`
     std::vector<DirectoryServer> servers;
     std::string configurationDocument; // in the platform's format; empty unless newer than the requester's
+    std::vector<RateLimitNotice> limits; // in force, or ended recently
 };
 
 using PeerRequest = std::variant<PromiseRequest, BridgeBatch, BridgeTrim, BridgeFetch, Gossip, ConfigFetch,
-    ForwardRequest, RecordCall, DirectoryFetch>;
+    ForwardRequest, RecordCall, DirectoryFetch, PermitRequest, LimitReport>;
 using PeerAnswer = std::variant<std::monostate, PromiseAnswer, BridgeAnswer, BridgeCopies, Gossip, ConfigDocument,
-    ForwardEnd, RecordReply, DirectoryUpdate>;
+    ForwardEnd, RecordReply, DirectoryUpdate, PermitAnswer>;
 
 enum class PeerStatus {
     Ok,
--- a/lovagecross/runtime/Node.cpp
+++ b/lovagecross/runtime/Node.cpp
@@ -99,6 +99,8 @@
     // These requests are served only by nodes on a platform with a registry.
     PeerAnswer operator()(const RecordCall&) const { return {}; }
     PeerAnswer operator()(const DirectoryFetch&) const { return {}; }
+    PeerAnswer operator()(const PermitRequest&) const { return {}; }
+    PeerAnswer operator()(const LimitReport&) const { return {}; }
 };
 
 } // namespace
--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -29,12 +29,13 @@
 } // namespace
 
 DirectoryFollower::DirectoryFollower(DirectoryFollowerSettings followerSettings, PeerClient& peerClient,
-    Directory& target, ConfigurationDecoder configurationDecoder, const Clock& givenClock)
+    Directory& target, ConfigurationDecoder configurationDecoder, const Clock& givenClock, RateLimitSink rateLimitSink)
     : settings(followerSettings)
     , peers(peerClient)
     , directory(target)
     , decode(std::move(configurationDecoder))
     , clock(givenClock)
+    , learnLimits(std::move(rateLimitSink))
 {
 }
 
@@ -71,6 +72,7 @@
 void DirectoryFollower::apply(const DirectoryUpdate& update)
 {
     Duration age = std::chrono::milliseconds(update.registryAgeMillis);
+    this->learnLimits(update.limits); // before the servers: a new server's limit is known when it gets its first call
     if (update.registryKnown && update.hasServers) {
         std::vector<ServerEntry> servers;
         for (const DirectoryServer& server : update.servers)
--- a/lovagecross/sharing/DirectoryFollower.h
+++ b/lovagecross/sharing/DirectoryFollower.h
@@ -25,6 +25,9 @@
 // Decodes a configuration document in the platform's format. Logs an invalid document and returns nullopt.
 using ConfigurationDecoder = std::function<std::optional<GatewayConfiguration>(const std::string& document)>;
 
+// Receives the rate limits that a publisher knows.
+using RateLimitSink = std::function<void(const std::vector<RateLimitNotice>& limits)>;
+
 struct DirectoryFollowerSettings {
     Duration interval = std::chrono::milliseconds(500);
     Duration timeout = std::chrono::milliseconds(200);
@@ -33,8 +36,10 @@
 
 class DirectoryFollower {
 public:
-    DirectoryFollower(DirectoryFollowerSettings followerSettings, PeerClient& peerClient, Directory& target,
-        ConfigurationDecoder configurationDecoder, const Clock& givenClock);
+    DirectoryFollower(
+        DirectoryFollowerSettings followerSettings, PeerClient& peerClient, Directory& target,
+        ConfigurationDecoder configurationDecoder, const Clock& givenClock,
+        RateLimitSink rateLimitSink = [](const std::vector<RateLimitNotice>&) {});
 
     // Asks the first publishers in order until one returns up-to-date data. Returns the delay until the next step.
     Duration step(const std::vector<std::string>& publishers);
@@ -51,6 +56,7 @@
     Directory& directory;
     const ConfigurationDecoder decode;
     const Clock& clock;
+    const RateLimitSink learnLimits;
     std::atomic<bool> lastStepSucceeded { false };
 };
 
