--- a/lovagecross/adapters/PeerCodecTest.cpp
+++ b/lovagecross/adapters/PeerCodecTest.cpp
@@ -80,7 +80,7 @@
     // A negative rate or an endless time would disable the arithmetic that keeps the limit.
     void rateLimitsThatMakeNoSenseAreRejected()
     {
-        for (RateLimitNotice notice : { RateLimitNotice { "i", 0, -1.0, Duration(0) },
+        for (const RateLimitNotice& notice : { RateLimitNotice { "i", 0, -1.0, Duration(0) },
                  RateLimitNotice { "i", 0, std::numeric_limits<double>::infinity(), Duration(0) },
                  RateLimitNotice { "i", 0, 1.0, Duration(-1) }, RateLimitNotice { "i", 0, 1.0, Duration::max() } })
             CPPUNIT_ASSERT(!decodeEnvelope(encodeEnvelope({ { 1, 2 }, false, PermitRequest { notice } })));
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -305,6 +305,7 @@
         std::stable_partition(issuers.begin(), issuers.end(),
             [this](const RosterMember* member) { return member->dataCentre == this->base.settings.dataCentre; });
         std::vector<std::string> addresses;
+        addresses.reserve(issuers.size());
         for (const RosterMember* member : issuers)
             addresses.push_back(member->address);
         return addresses;
--- a/lovagecross/limits/LimitedServersTest.cpp
+++ b/lovagecross/limits/LimitedServersTest.cpp
@@ -83,6 +83,7 @@
             nodes.back()->use({ entryOf("limited", server), entryOf("other", other) });
         }
         std::vector<std::thread> callers;
+        callers.reserve(entryNodes);
         std::atomic<int> unserved { 0 };
         for (int i = 0; i < entryNodes; ++i) {
             callers.emplace_back([&, i] {
--- a/lovagecross/limits/RateLimitTable.h
+++ b/lovagecross/limits/RateLimitTable.h
@@ -15,11 +15,11 @@
 
 #include "lovagecross/base/Clock.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace lovagecross {
@@ -29,7 +29,10 @@
     std::string id;
     std::int64_t startedUnixMillis = 0;
 
-    auto operator<=>(const ServerKey&) const = default;
+    bool operator<(const ServerKey& other) const
+    {
+        return std::tie(this->id, this->startedUnixMillis) < std::tie(other.id, other.startedUnixMillis);
+    }
 };
 
 struct RateLimit {
