Decode the software version of servers and what a take-up names, and log both

Change: softwareVersion of a registry entry, also between nodes, and the caller's Resumes as typed fields; call and attempt lines have serverVersion, call lines of take-ups resumes and after. Nothing acts on them yet.

--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -196,6 +196,7 @@
         entry->set_draining(server.draining);
         entry->set_cold_millis(server.coldMillis);
         entry->set_started_unix_millis(server.startedUnixMillis);
+        entry->set_software_version(server.softwareVersion);
     }
 }
 
@@ -210,7 +211,7 @@
         if (!isAddressText(entry.address()))
             return false;
         update.servers.push_back({ entry.id(), entry.service(), entry.address(), entry.data_centre(), entry.slots(),
-            entry.draining(), entry.cold_millis(), entry.started_unix_millis() });
+            entry.draining(), entry.cold_millis(), entry.started_unix_millis(), entry.software_version() });
     }
     return update.registryAgeMillis >= 0 && read(in.limits(), update.limits);
 }
--- a/lovagecross/gateway/Call.h
+++ b/lovagecross/gateway/Call.h
@@ -28,6 +28,7 @@
     std::optional<Duration> timeLeft; // how long the caller waits, counted from the arrival of the head
     std::string affinityKey; // shared by requests that concern the same object
     std::optional<std::uint64_t> lastEventId; // last stream event that the caller has received
+    std::string resumes; // request id of the attempt that brought the first event of the stream to resume
     std::string model;
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -185,6 +185,7 @@
         if (chosen && this->obtainPermit(*chosen)) {
             this->triedServers.insert(chosen->id);
             this->lastServer = chosen->id;
+            this->lastVersion = chosen->softwareVersion;
             outcome = this->runAttempt(found, *chosen);
         } else if ((!chosen || this->deniedPermits >= maxDeniedPermits) && !this->waitForPermit()) {
             break;
@@ -303,6 +304,7 @@
         LogLine(LogLevel::Info, "attempt")
             .field("request", this->call.requestId)
             .field("server", server.id)
+            .field("serverVersion", server.softwareVersion)
             .field("end", callOutcomeNames.name(callOutcome))
             .field("why", this->lastFailure)
             .field("ms", toMillis(this->parts.clock.now() - sentAt))
@@ -582,6 +584,10 @@
         line.field("previous", this->call.previousTurn);
     if (this->call.tokenBudget)
         line.field("budget", *this->call.tokenBudget).field("maxTokens", this->call.maxOutputTokens);
+    if (this->call.lastEventId)
+        line.field("resumes", this->call.resumes).field("after", *this->call.lastEventId);
+    if (!this->lastVersion.empty())
+        line.field("serverVersion", this->lastVersion);
     line.field("server", this->lastServer)
         .field("sends", this->sends)
         .field("mayHaveRun", this->mayHaveRun)
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -105,6 +105,7 @@
     std::uint32_t deniedPermits = 0;
     std::optional<Duration> nextPermitIn; // set if a server was passed over because its rate limit was reached
     std::string lastServer;
+    std::string lastVersion; // software version of that server
     std::string lastFailure;
     TimePoint firstSendAt;
 
--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -14,7 +14,8 @@
 {
     std::string text = entry.id + '|' + entry.service + '|' + entry.address + '|' + entry.dataCentre + '|'
         + std::to_string(entry.slots) + '|' + std::string(serverStateNames.name(entry.state)) + '|'
-        + std::to_string(entry.startedUnixMillis) + (entry.coldFor > Duration(0) ? "|cold" : "|warm");
+        + entry.softwareVersion + '|' + std::to_string(entry.startedUnixMillis)
+        + (entry.coldFor > Duration(0) ? "|cold" : "|warm");
     return stableHash(text, seed);
 }
 
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -37,6 +37,8 @@
         call.program = this->text(headers, "Program");
         call.session = this->text(headers, "Session");
         call.previousTurn = this->text(headers, "Previous");
+        call.lastEventId = parseUnsigned(this->text(headers, "Last-Event-Id"));
+        call.resumes = this->text(headers, "Resumes");
         call.affinityKey = this->text(headers, "Affinity");
         if (auto millis = parseUnsigned(this->text(headers, "Time")))
             call.timeLeft = milliseconds(*millis);
@@ -118,6 +120,14 @@
         this->used -= request.tokens - usedTokens;
     }
 
+    // Takes over what another one holds, as after a restart of the node that used it.
+    void takeOver(FakeTurns& other)
+    {
+        std::scoped_lock lock(this->mutex, other.mutex);
+        this->kept = other.kept;
+        this->used = other.used;
+    }
+
     std::mutex mutex;
     bool available = true;
     std::map<std::string, TurnRecord> kept;
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -190,7 +190,8 @@
             socket.sendBytes(response.data(), static_cast<int>(response.size()));
             ScriptedConnection(socket).waitForClose();
         });
-        ServerEntry entry { "early", "s", listener.address().toString(), "a", 8, ServerState::Ready, Duration(0), 0 };
+        ServerEntry entry { "early", "s", listener.address().toString(), "a", 8, ServerState::Ready, Duration(0), 0,
+            {} };
         this->directory->replaceServers({ entry }, 50);
         std::string response = this->sendRequest(post("/unsafe/", "r1", std::string(90'000, 'b')));
         server.join();
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -175,6 +175,7 @@
     bool draining = false;
     std::int64_t coldMillis = 0;
     std::int64_t startedUnixMillis = 0;
+    std::string softwareVersion;
 };
 
 struct DirectoryUpdate {
--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -23,6 +23,7 @@
     entry.state = message.draining ? ServerState::Draining : ServerState::Ready;
     entry.coldFor = std::chrono::milliseconds(message.coldMillis);
     entry.startedUnixMillis = message.startedUnixMillis;
+    entry.softwareVersion = message.softwareVersion;
     return entry;
 }
 
--- a/lovagecross/sharing/DirectoryPublisher.cpp
+++ b/lovagecross/sharing/DirectoryPublisher.cpp
@@ -7,7 +7,7 @@
 DirectoryServer toMessage(const ServerEntry& entry)
 {
     return { entry.id, entry.service, entry.address, entry.dataCentre, entry.slots,
-        entry.state == ServerState::Draining, toMillis(entry.coldFor), entry.startedUnixMillis };
+        entry.state == ServerState::Draining, toMillis(entry.coldFor), entry.startedUnixMillis, entry.softwareVersion };
 }
 
 } // namespace
