A stream is continued only at the software version that began it

What callers saw: 200 and a whole answer whose events came from two versions of the servers' software. Cause: continuations within a response and take-ups chose any server; the version that began a stream was known to nobody once the entry node, or all of them, had lost its memory. Change: the version of the chosen server is recorded with the token reservation of the request, durably at a majority of the program's record nodes, before the request is sent, so before the first event can leave. It costs no further message: the reservation was made before, and streams without a budget now make one of no tokens. A take-up reads it from the answers to its own reservation, whose majority shares a node with the earlier one. Retries before the first event stay at the recorded version, or record a higher revision first; with an event, only servers of that version are asked. A stream whose version is gone, or of which no record exists, is refused at once; if the record nodes can't be reached, with the time to come back. The head of a response is that of the server whose events follow.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -5,6 +5,8 @@
 #include "lovagecross/http/BodyDecoder.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <thread>
 #include <utility>
 
@@ -29,6 +31,10 @@
 constexpr Duration minStallTimeout = milliseconds(600);
 constexpr Duration minFirstEventTimeout = milliseconds(1000);
 
+// Minimum time for which the origin of a stream is known, longer than callers try to continue it.
+constexpr Duration minOriginRetention = std::chrono::seconds(60);
+constexpr const char* streamGroupPrefix = "stream:"; // of the records of a stream that belongs to no program
+
 constexpr int statusBudgetExhausted = 402;
 
 // Whether the status tells the caller that the call was not executed.
@@ -94,6 +100,8 @@
         this->parts.counters.failed.add();
         this->logCall("broken_off", 0);
         return AfterCall::Close;
+    case AttemptOutcome::Refused:
+        return *this->refusal;
     case AttemptOutcome::TryNextServer:
     case AttemptOutcome::GiveUp:
         break;
@@ -112,9 +120,11 @@
                 return refused;
         }
     }
-    if (this->call.tokenBudget && !this->call.program.empty())
-        return this->reserveTokens(found);
-    return std::nullopt;
+    if (found.resumable && this->isTakeUp())
+        return this->findOrigin(found);
+    if (!found.resumable && this->call.tokenBudget && !this->call.program.empty())
+        return this->reserveTokens(found, {});
+    return std::nullopt; // the reservation of a resumable stream follows the choice of its server
 }
 
 std::optional<AfterCall> CallRunner::loadConversation()
@@ -136,16 +146,16 @@
     return this->refuse(503, "the previous turn can't be read now", conversation.retryAfter);
 }
 
-std::optional<AfterCall> CallRunner::reserveTokens(const Route& found)
+std::optional<AfterCall> CallRunner::reserveTokens(const Route& found, const StreamOrigin& newOrigin)
 {
     TimePoint start = this->parts.clock.now();
-    GrantRequest request { this->call.program, this->call.requestId, this->call.maxOutputTokens,
-        *this->call.tokenBudget, found.retention };
+    GrantRequest request = this->makeGrantRequest(found, newOrigin);
     Grant reservation = this->parts.budgets.reserve(request, this->deadline);
     this->parts.counters.tokenReservation.record(this->parts.clock.now() - start);
     switch (reservation.status) {
     case GrantStatus::Granted:
         this->grant = std::move(request);
+        this->origin = this->isTakeUp() ? reservation.resumed : newOrigin;
         return std::nullopt;
     case GrantStatus::Exhausted:
         return this->refuse(statusBudgetExhausted, "the token budget of the program is spent");
@@ -156,6 +166,59 @@
     return this->refuse(503, "the token budget can't be checked now", reservation.retryAfter);
 }
 
+// A stream without a token budget has a reservation of no tokens, which records its origin.
+GrantRequest CallRunner::makeGrantRequest(const Route& found, const StreamOrigin& newOrigin) const
+{
+    GrantRequest request;
+    request.program = this->call.program;
+    if (request.program.empty())
+        request.program = streamGroupPrefix + (this->isTakeUp() ? this->call.resumes : this->call.requestId);
+    request.requestId = this->call.requestId;
+    request.tokens = this->call.tokenBudget ? this->call.maxOutputTokens : 0;
+    request.budget = this->call.tokenBudget.value_or(std::numeric_limits<std::uint64_t>::max());
+    request.retention = std::max(found.retention, minOriginRetention);
+    request.origin = newOrigin;
+    request.resumes = this->isTakeUp() ? this->call.resumes : std::string();
+    return request;
+}
+
+// --- Origins of streams
+
+// Finds the software version that began the stream that the caller takes up.
+std::optional<AfterCall> CallRunner::findOrigin(const Route& found)
+{
+    if (this->call.resumes.empty())
+        return this->refuse(503, "the request doesn't name the stream that it continues", longRetryAfter);
+    if (auto refused = this->reserveTokens(found, {}))
+        return refused;
+    if (!this->origin.softwareVersion.empty())
+        return std::nullopt;
+    this->settleTokens();
+    return this->refuse(503, "the version that began the stream is unknown", longRetryAfter);
+}
+
+// Records the version of the server that is about to begin the stream, so that any node knows it once the caller has an
+// event. Returns TryNextServer if the request may be sent to the server.
+CallRunner::AttemptOutcome CallRunner::recordOrigin(const Route& found, const ServerEntry& server)
+{
+    bool recorded = this->origin.revision > 0 && this->origin.softwareVersion == server.softwareVersion;
+    if (!found.resumable || this->versionIsFixed() || recorded)
+        return AttemptOutcome::TryNextServer;
+    StreamOrigin next { server.softwareVersion, this->origin.revision + 1 };
+    if (this->mayHaveRun == 0) {
+        this->refusal = this->reserveTokens(found, next);
+        return this->refusal ? AttemptOutcome::Refused : AttemptOutcome::TryNextServer;
+    }
+    Grant reservation = this->parts.budgets.reserve(this->makeGrantRequest(found, next), this->deadline);
+    if (reservation.status != GrantStatus::Granted) {
+        this->lastFailure = "origin_not_recorded";
+        return AttemptOutcome::GiveUp;
+    }
+    this->grant->origin = next;
+    this->origin = next;
+    return AttemptOutcome::TryNextServer;
+}
+
 void CallRunner::settleTokens()
 {
     if (!this->grant)
@@ -181,19 +244,48 @@
     while (outcome == AttemptOutcome::TryNextServer && this->sends < mostSends) {
         if (this->timeLeft() <= minTimeToSend)
             break;
-        auto chosen = this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
-        if (chosen && this->obtainPermit(*chosen)) {
-            this->triedServers.insert(chosen->id);
-            this->lastServer = chosen->id;
-            this->lastVersion = chosen->softwareVersion;
-            outcome = this->runAttempt(found, *chosen);
-        } else if ((!chosen || this->deniedPermits >= maxDeniedPermits) && !this->waitForPermit()) {
+        std::optional<ServerEntry> chosen = this->chooseServer(request, servers);
+        if (chosen)
+            outcome = this->runAttemptIfPermitted(found, *chosen);
+        else if (!this->waitForPermit())
             break;
-        }
     }
     return outcome;
 }
 
+// Chooses among the servers of the stream's version, and among all if it has no event yet and that version has none.
+std::optional<ServerEntry> CallRunner::chooseServer(
+    const ChoiceRequest& request, const std::vector<ServerEntry>& servers)
+{
+    if (!this->route->resumable || (this->origin.softwareVersion.empty() && !this->versionIsFixed()))
+        return this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
+    std::vector<ServerEntry> sameVersion;
+    std::copy_if(servers.begin(), servers.end(), std::back_inserter(sameVersion),
+        [this](const ServerEntry& server) { return server.softwareVersion == this->origin.softwareVersion; });
+    auto chosen = this->parts.book.choose(sameVersion, request, this->call.prompt, this->serversToSkip(sameVersion));
+    if (chosen || this->versionIsFixed())
+        return chosen;
+    return this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
+}
+
+// Makes an attempt at the chosen server once the origin of the stream is recorded and a permit was obtained.
+CallRunner::AttemptOutcome CallRunner::runAttemptIfPermitted(const Route& found, const ServerEntry& server)
+{
+    AttemptOutcome outcome = this->recordOrigin(found, server);
+    if (outcome != AttemptOutcome::TryNextServer) {
+        this->parts.book.finished(server, CallOutcome::Withheld, Duration(0), {});
+        return outcome;
+    }
+    if (!this->obtainPermit(server)) {
+        bool goOn = this->deniedPermits < maxDeniedPermits || this->waitForPermit();
+        return goOn ? AttemptOutcome::TryNextServer : AttemptOutcome::GiveUp;
+    }
+    this->triedServers.insert(server.id);
+    this->lastServer = server.id;
+    this->lastVersion = server.softwareVersion;
+    return this->runAttempt(found, server);
+}
+
 // Returns the servers that have been tried and those whose permits are used up. After some denied permits, only servers
 // without a limit are tried, if there are any.
 std::set<std::string> CallRunner::serversToSkip(const std::vector<ServerEntry>& servers)
@@ -377,7 +469,7 @@
 
 CallRunner::AttemptOutcome CallRunner::forwardStream(const Route& found, ServerExchange& exchange)
 {
-    if (!this->streamHead) {
+    if (!this->headWritten) {
         this->streamHead = exchange.head();
     } else {
         ++this->resumptions;
@@ -529,6 +621,8 @@
         this->logCall("broken_off", 0);
         return AfterCall::Close;
     }
+    if (this->mayHaveRun == 0 && this->sends == 0 && this->isTakeUp() && !this->nextPermitIn)
+        return this->refuse(503, "no server of the stream's version", longRetryAfter);
     if (this->mayHaveRun == 0 && this->sends == 0 && this->nextPermitIn)
         return this->refuse(503, "the servers' rate limits are reached", this->nextPermitIn);
     if (this->mayHaveRun == 0)
@@ -585,7 +679,9 @@
     if (this->call.tokenBudget)
         line.field("budget", *this->call.tokenBudget).field("maxTokens", this->call.maxOutputTokens);
     if (this->call.lastEventId)
-        line.field("resumes", this->call.resumes).field("after", *this->call.lastEventId);
+        line.field("resumes", this->call.resumes)
+            .field("after", *this->call.lastEventId)
+            .field("originVersion", this->origin.softwareVersion);
     if (!this->lastVersion.empty())
         line.field("serverVersion", this->lastVersion);
     line.field("server", this->lastServer)
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -49,14 +49,17 @@
         CallerLeft, // the caller closed the connection
         TryNextServer, // another server may be tried; from `forwardEvents`: the stream continues
         GiveUp, // the call may have run and must not be sent again
+        Refused, // a refusal was written
     };
 
     AfterCall runRouted(const Route& route);
     AttemptOutcome runAttempts(const Route& route, const std::string& service);
+    std::optional<ServerEntry> chooseServer(const ChoiceRequest& request, const std::vector<ServerEntry>& servers);
     std::set<std::string> serversToSkip(const std::vector<ServerEntry>& servers);
     bool obtainPermit(const ServerEntry& server);
     void noteDeniedPermit(Duration retryAfter);
     bool waitForPermit();
+    AttemptOutcome runAttemptIfPermitted(const Route& route, const ServerEntry& server);
     AttemptOutcome runAttempt(const Route& route, const ServerEntry& server);
     AttemptOutcome handleFailedExchange(const Route& route, ExchangeStatus end);
     AttemptOutcome handleResponse(const Route& route, ServerExchange& exchange);
@@ -70,7 +73,12 @@
 
     std::optional<AfterCall> prepareTurn(const Route& route);
     std::optional<AfterCall> loadConversation();
-    std::optional<AfterCall> reserveTokens(const Route& route);
+    std::optional<AfterCall> reserveTokens(const Route& route, const StreamOrigin& origin);
+    std::optional<AfterCall> findOrigin(const Route& route);
+    AttemptOutcome recordOrigin(const Route& route, const ServerEntry& server);
+    GrantRequest makeGrantRequest(const Route& route, const StreamOrigin& origin) const;
+    bool isTakeUp() const { return this->call.lastEventId.has_value(); }
+    bool versionIsFixed() const { return this->isTakeUp() || this->headWritten; }
     void settleTokens();
 
     ServerRequest makeRequest(const Route& route, const ServerEntry& server) const;
@@ -94,6 +102,7 @@
     Call call;
     TimePoint deadline;
     const Route* route = nullptr;
+    std::optional<AfterCall> refusal; // after AttemptOutcome::Refused
     bool closeAfterCall = false; // so that the caller's next call can reach another node
     std::string turnInput; // the request body without the preceding conversation
 
@@ -115,6 +124,7 @@
     std::optional<std::uint64_t> lastEventId;
     std::uint64_t eventsWritten = 0;
     std::uint64_t resumptions = 0;
+    StreamOrigin origin; // as recorded; only servers of its version may continue the stream
     std::string turnOutput; // event data to store with the turn
     TimePoint lastEventAt;
     // From the last event to the end of the response, including the durable write of the turn.
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -109,10 +109,19 @@
     Grant reserve(const GrantRequest& request, TimePoint) override
     {
         std::lock_guard lock(this->mutex);
+        if (!this->available)
+            return { GrantStatus::Unavailable, this->used, milliseconds(70), {} };
+        StreamOrigin& origin = this->origins[request.requestId];
+        if (request.origin.revision > origin.revision)
+            origin = request.origin;
+        StreamOrigin resumed = this->origins[request.resumes];
+        if (this->reserved.count(request.requestId) > 0)
+            return { GrantStatus::Granted, this->used, Duration(0), resumed };
         if (this->used + request.tokens > request.budget)
-            return { GrantStatus::Exhausted, this->used, Duration(0) };
+            return { GrantStatus::Exhausted, this->used, Duration(0), {} };
         this->used += request.tokens;
-        return { GrantStatus::Granted, this->used, Duration(0) };
+        this->reserved.insert(request.requestId);
+        return { GrantStatus::Granted, this->used, Duration(0), resumed };
     }
     void settle(const GrantRequest& request, std::uint64_t usedTokens) override
     {
@@ -126,12 +135,16 @@
         std::scoped_lock lock(this->mutex, other.mutex);
         this->kept = other.kept;
         this->used = other.used;
+        this->reserved = other.reserved;
+        this->origins = other.origins;
     }
 
     std::mutex mutex;
     bool available = true;
     std::map<std::string, TurnRecord> kept;
     std::uint64_t used = 0;
+    std::set<std::string> reserved; // request ids
+    std::map<std::string, StreamOrigin> origins; // by request id
 };
 
 // No server has a limit.
--- a/lovagecross/gateway/Turns.h
+++ b/lovagecross/gateway/Turns.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Interfaces of the gateway to the program state shared between nodes: stored conversation turns and token budgets.
+// Interfaces of the gateway to the program state shared between nodes: stored conversation turns, token budgets and the
+// origins of streams.
 // Implemented by `records/RecordClient`; tests use fakes.
 //
 // Thread safety: implementations may be called from any thread.
@@ -53,25 +54,38 @@
     Unavailable,
 };
 
+// The software version of the servers that a resumable stream may come from. It is recorded before the first event
+// reaches the caller, and replaced by a higher revision while there is no event.
+struct StreamOrigin {
+    std::string softwareVersion; // empty if no server has been chosen
+    std::uint32_t revision = 0;
+
+    bool operator==(const StreamOrigin&) const = default;
+};
+
 struct GrantRequest {
     std::string program;
     std::string requestId;
     std::uint64_t tokens = 0; // maximum number of tokens that the turn can generate
     std::uint64_t budget = 0;
-    Duration retention { 0 }; // of the budget after its last use
+    Duration retention { 0 }; // of the budget and of the stream's origin after their last use
+    StreamOrigin origin {}; // of the stream that the request is about to begin
+    std::string resumes {}; // id of an earlier request of the program whose stream is to be continued
 };
 
 struct Grant {
     GrantStatus status = GrantStatus::Unavailable;
     std::uint64_t usedTokens = 0; // by other turns; unsettled grants count in full
     Duration retryAfter { 0 }; // for Unavailable: when the caller should retry
+    StreamOrigin resumed {}; // for Granted: the origin of the stream of `resumes`; no version if none is recorded
 };
 
 class TokenBudgets {
 public:
     virtual ~TokenBudgets() = default;
 
-    // Reserves the tokens durably: they count as used until `settle`.
+    // Reserves the tokens durably: they count as used until `settle`. Records the origin with them. A repeated request
+    // with a higher revision of the origin replaces the origin and reserves nothing more.
     virtual Grant reserve(const GrantRequest& request, TimePoint deadline) = 0;
 
     // Replaces a grant by the tokens that were sent to the caller. If this update is lost, the grant counts in full.
--- a/lovagecross/records/PlatformRecords.cpp
+++ b/lovagecross/records/PlatformRecords.cpp
@@ -86,7 +86,8 @@
     return TurnRead::Found;
 }
 
-PlatformVote PlatformRecords::reserve(const Reservation& reservation, ProgramReservations known, std::uint64_t budget)
+PlatformVote PlatformRecords::reserve(
+    const Reservation& reservation, ProgramReservations known, std::uint64_t budget, ProgramReservations* all)
 {
     std::string key = keyOf(budgetPrefix, reservation.program);
     for (int attempt = 0; attempt < maxVoteAttempts; ++attempt) {
@@ -101,16 +102,20 @@
                 return PlatformVote::Unavailable;
             records = std::move(*parsed);
         }
-        bool alreadyStored = false; // an earlier attempt has stored it
+        ProgramReservations merged;
         for (const Reservation& other : records.reservations) {
             mergeReservation(known, other);
-            alreadyStored = alreadyStored || other.requestId == reservation.requestId;
+            mergeReservation(merged, other);
         }
         if (usedTokens(known, reservation.requestId) + reservation.tokens > budget)
             return PlatformVote::Exhausted;
-        if (alreadyStored)
+        if (all != nullptr)
+            *all = known;
+        if (!mergeReservation(merged, reservation)) // an earlier attempt has stored it
             return PlatformVote::Accepted;
-        records.reservations.push_back(reservation);
+        records.reservations.clear();
+        for (const auto& [requestId, other] : merged)
+            records.reservations.push_back(other);
         std::string value = printRecords(records);
         StoreResult written
             = exists ? this->store.update(key, value, stored.object.version) : this->store.create(key, value);
--- a/lovagecross/records/PlatformRecords.h
+++ b/lovagecross/records/PlatformRecords.h
@@ -50,8 +50,9 @@
     TurnRead readTurn(const std::string& id, StoredTurn& turn);
 
     // Adds the reservation unless it would exceed the budget together with `known` and the reservations at the
-    // platform.
-    PlatformVote reserve(const Reservation& reservation, ProgramReservations known, std::uint64_t budget);
+    // platform. Sets `all` to both, unless it is null or the platform doesn't accept.
+    PlatformVote reserve(const Reservation& reservation, ProgramReservations known, std::uint64_t budget,
+        ProgramReservations* all = nullptr);
 
     // Returns all reservations at the platform, or nullopt if any of them can't be read.
     std::optional<std::vector<Reservation>> reservations();
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -59,6 +59,12 @@
         });
 }
 
+StreamOrigin originOf(const ProgramReservations& reservations, const std::string& requestId)
+{
+    auto found = reservations.find(requestId);
+    return found == reservations.end() ? StreamOrigin {} : found->second.origin;
+}
+
 } // namespace
 
 RecordClient::RecordClient(RecordClientSettings clientSettings, RecordNodeParts clientParts)
@@ -323,7 +329,7 @@
 Grant RecordClient::reserve(const GrantRequest& request, TimePoint deadline)
 {
     Reservation reservation { request.program, request.requestId, request.tokens, false,
-        expiryOf(request.retention, this->parts.clock) };
+        expiryOf(request.retention, this->parts.clock), request.origin };
     TimePoint until = std::min(deadline, this->parts.clock.now() + maxReserveDuration);
     bool sent = false;
     while (this->reachability() != Reachability::Partitioned && this->parts.clock.now() < until) {
@@ -349,14 +355,17 @@
         bool hasMajority = answers.accepted.size() >= majority;
         if (answers.exhausted || (hasMajority && used + request.tokens > request.budget)) {
             this->settle(request, 0);
-            return { GrantStatus::Exhausted, used, Duration(0) };
+            return { GrantStatus::Exhausted, used, Duration(0), {} };
         }
         if (answers.answered >= majority)
             this->recordRoundResult(answers, true, false);
         if (hasMajority) {
-            if (firstWaveOnly)
+            if (firstWaveOnly
+                && request.origin.revision <= 1) // a later revision may find others that were asked before
                 this->addFirstWaveGrant(request.requestId, roster.epoch);
-            return { GrantStatus::Granted, used, Duration(0) };
+            else
+                this->takeFirstWaveGrant(request.requestId);
+            return { GrantStatus::Granted, used, Duration(0), originOf(others, request.resumes) };
         }
         if (answers.epochOutdated)
             continue;
@@ -364,10 +373,10 @@
         if (vote != PlatformVote::Unavailable)
             this->recordRoundResult(answers, true, false);
         if (vote == PlatformVote::Accepted)
-            return { GrantStatus::Granted, used, Duration(0) };
+            return { GrantStatus::Granted, used, Duration(0), originOf(others, request.resumes) };
         if (vote == PlatformVote::Exhausted) {
             this->settle(request, 0);
-            return { GrantStatus::Exhausted, used, Duration(0) };
+            return { GrantStatus::Exhausted, used, Duration(0), {} };
         }
         if (answers.answered < majority)
             this->recordRoundResult(answers, false, false);
@@ -375,7 +384,7 @@
     }
     if (sent)
         this->settle(request, 0);
-    return { GrantStatus::Unavailable, 0, this->callerRetryDelay() };
+    return { GrantStatus::Unavailable, 0, this->callerRetryDelay(), {} };
 }
 
 // Returns the timeout for a round of votes. If the platform can vote too, it is shorter, and still shorter for a while
@@ -392,8 +401,8 @@
 
 // Requests the platform's vote if it is a replica and its vote would complete a majority. The responding members must
 // have fetched everything that former majorities accepted, since otherwise their reservations may be incomplete.
-PlatformVote RecordClient::requestPlatformVote(const Roster& known, const Answers& answers,
-    const ProgramReservations& others, const Reservation& reservation, std::uint64_t budget)
+PlatformVote RecordClient::requestPlatformVote(const Roster& known, const Answers& answers, ProgramReservations& others,
+    const Reservation& reservation, std::uint64_t budget)
 {
     bool filled = std::all_of(answers.responses.begin(), answers.responses.end(),
         [&](const RecordResponse& response) { return response.filledEpoch >= known.epoch; });
@@ -405,7 +414,7 @@
         if (this->parts.clock.now() < this->platformBackoffUntil)
             return PlatformVote::Unavailable;
     }
-    PlatformVote vote = this->platform.reserve(reservation, others, budget);
+    PlatformVote vote = this->platform.reserve(reservation, others, budget, &others);
     LogLine(LogLevel::Info, "platform_vote")
         .field("request", reservation.requestId)
         .field("program", reservation.program)
@@ -424,7 +433,7 @@
 void RecordClient::settle(const GrantRequest& request, std::uint64_t usedTokens)
 {
     Reservation reservation { request.program, request.requestId, usedTokens, true,
-        expiryOf(request.retention, this->parts.clock) };
+        expiryOf(request.retention, this->parts.clock), request.origin };
     RecordCall call { encodeRecordRequest(SettleRequest { std::move(reservation) }) };
     Roster roster = this->roster();
     auto replicas = this->replicasNearFirst(roster, request.program);
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -83,7 +83,7 @@
     void probe();
     void queryPeerReachability(const Roster& known);
     Duration voteRoundTimeout(const Roster& known, TimePoint until) const;
-    PlatformVote requestPlatformVote(const Roster& known, const Answers& answers, const ProgramReservations& others,
+    PlatformVote requestPlatformVote(const Roster& known, const Answers& answers, ProgramReservations& others,
         const Reservation& reservation, std::uint64_t budget);
     std::vector<const RosterMember*> replicasNearFirst(const Roster& known, const std::string& program) const;
     void addFirstWaveGrant(const std::string& requestId, std::uint64_t epoch);
--- a/lovagecross/records/RecordMessages.cpp
+++ b/lovagecross/records/RecordMessages.cpp
@@ -30,11 +30,14 @@
     out->set_tokens(reservation.tokens);
     out->set_settled(reservation.settled);
     out->set_expires_unix_millis(reservation.expiresUnixMillis);
+    out->set_stream_version(reservation.origin.softwareVersion);
+    out->set_stream_revision(reservation.origin.revision);
 }
 
 Reservation read(const proto::Reservation& in)
 {
-    return { in.program(), in.request_id(), in.tokens(), in.settled(), in.expires_unix_millis() };
+    return { in.program(), in.request_id(), in.tokens(), in.settled(), in.expires_unix_millis(),
+        { in.stream_version(), in.stream_revision() } };
 }
 
 void write(const Roster& roster, proto::RecordRoster* out)
--- a/lovagecross/records/RecordMessages.h
+++ b/lovagecross/records/RecordMessages.h
@@ -5,6 +5,7 @@
 // Thread safety: plain values and free functions.
 
 #include "lovagecross/base/NameTable.h"
+#include "lovagecross/gateway/Turns.h"
 #include "lovagecross/ports/Peer.h"
 #include "lovagecross/records/ReplicaState.h"
 #include "lovagecross/records/Roster.h"
@@ -28,13 +29,14 @@
     std::int64_t expiresUnixMillis = 0;
 };
 
-// Tokens of one request that count against the budget of its program.
+// Tokens of one request that count against the budget of its program, and the origin of its stream.
 struct Reservation {
     std::string program;
     std::string requestId;
     std::uint64_t tokens = 0;
     bool settled = false; // if set, `tokens` is the actual usage; otherwise the maximum
     std::int64_t expiresUnixMillis = 0;
+    StreamOrigin origin {}; // of the stream that the request began
 };
 
 using StoredRecord = std::variant<StoredTurn, Reservation>;
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -255,6 +255,8 @@
     CPPUNIT_TEST(platformKeepsTurnsWithoutDisks);
     CPPUNIT_TEST(restartWithoutThePlatformServesAtOnce);
     CPPUNIT_TEST(settledTokensAreFreeAgain);
+    CPPUNIT_TEST(originOfAStreamSurvivesARestartOfAll);
+    CPPUNIT_TEST(originIsKnownWithTheLastTwoNodes);
     CPPUNIT_TEST(platformVotesWithTheLastTwoNodes);
     CPPUNIT_TEST(grantsOfThePlatformOutliveARosterChange);
     CPPUNIT_TEST(nodeThatStopsHandsOverWhatItHolds);
@@ -273,6 +275,7 @@
     std::vector<std::unique_ptr<TestNode>> nodes;
     std::unique_ptr<LoopbackPeers> clientPeers;
     std::unique_ptr<RecordClient> client;
+    int takeUps = 0;
 
 public:
     void setUp() override
@@ -324,6 +327,57 @@
 
     TimePoint defaultDeadline() const { return this->clock.now() + std::chrono::seconds(3); }
 
+    bool recordOrigin(const std::string& request, const StreamOrigin& origin)
+    {
+        GrantRequest grant { "program", request, 10, 1000, std::chrono::seconds(60), origin, {} };
+        return this->client->reserve(grant, this->defaultDeadline()).status == GrantStatus::Granted;
+    }
+
+    // Returns the version that the client finds for a stream, or "unavailable".
+    std::string versionOf(const std::string& request)
+    {
+        std::string own = "take-up of " + request + std::to_string(++this->takeUps);
+        GrantRequest grant { "program", own, 10, 1000, std::chrono::seconds(60), {}, request };
+        Grant granted = this->client->reserve(grant, this->defaultDeadline());
+        return granted.status == GrantStatus::Granted ? granted.resumed.softwareVersion : "unavailable";
+    }
+
+    // Every node and the client lose their memory: a stream was continued at any version.
+    void originOfAStreamSurvivesARestartOfAll()
+    {
+        CPPUNIT_ASSERT(this->recordOrigin("r1", { "v1", 1 }) && this->recordOrigin("r2", { "v1", 1 }));
+        CPPUNIT_ASSERT(this->recordOrigin("r2", { "v2", 2 })); // no event had reached the caller
+        this->client->settle({ "program", "r1", 10, 1000, std::chrono::seconds(60), { "v1", 1 }, {} }, 4);
+        for (auto& node : this->nodes)
+            node->stop();
+        this->client->stop();
+        for (auto& node : this->nodes)
+            node->start(false);
+        this->client = this->newClient();
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), this->versionOf("r1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), this->versionOf("r2"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), this->versionOf("r3"));
+        this->network.setPartitioned("10.0.0.1:7001", true); // any majority knows it
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), this->versionOf("r2"));
+        this->network.setPartitioned("10.0.0.1:7002", true);
+        CPPUNIT_ASSERT_EQUAL(std::string("unavailable"), this->versionOf("r2")); // it is not said to be unknown
+    }
+
+    // With two members the platform votes: what one member and the platform have recorded was not found by the other.
+    void originIsKnownWithTheLastTwoNodes()
+    {
+        this->retireThirdNode();
+        CPPUNIT_ASSERT(waitFor([this] { return this->reserve("both") == GrantStatus::Granted; }));
+        this->network.setPartitioned("10.0.0.1:7002", true);
+        CPPUNIT_ASSERT(waitFor([this] { return this->recordOrigin("r1", { "v1", 1 }); }));
+        CPPUNIT_ASSERT(waitFor([this] { return this->recordOrigin("r1", { "v2", 2 }); }));
+        this->network.setPartitioned("10.0.0.1:7002", false);
+        this->network.setPartitioned("10.0.0.1:7001", true);
+        std::string found;
+        CPPUNIT_ASSERT(waitFor([&] { return (found = this->versionOf("r1")) != "unavailable"; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), found);
+    }
+
     GrantStatus reserve(const std::string& request, std::uint64_t tokens = 100, std::uint64_t budget = 1000)
     {
         return this->client
--- a/lovagecross/records/RecordTable.cpp
+++ b/lovagecross/records/RecordTable.cpp
@@ -29,10 +29,18 @@
     auto [entry, added] = reservations.emplace(reservation.requestId, reservation);
     if (added)
         return true;
-    if (entry->second.settled || !reservation.settled)
-        return false;
-    entry->second = reservation;
-    return true;
+    Reservation& stored = entry->second;
+    bool settles = reservation.settled && !stored.settled;
+    bool newerOrigin = reservation.origin.revision > stored.origin.revision;
+    if (settles) {
+        stored.tokens = reservation.tokens;
+        stored.settled = true;
+    }
+    if (newerOrigin)
+        stored.origin = reservation.origin;
+    if (settles || newerOrigin)
+        stored.expiresUnixMillis = std::max(stored.expiresUnixMillis, reservation.expiresUnixMillis);
+    return settles || newerOrigin;
 }
 
 bool RecordTable::add(const StoredRecord& record)
--- a/lovagecross/records/RecordTable.h
+++ b/lovagecross/records/RecordTable.h
@@ -6,8 +6,9 @@
 //     table.add(record);
 //     std::uint64_t used = usedTokens(table.reservationsOf("program"), "request"); // by the program's other turns
 //
-// Records never conflict: a turn is immutable, and a settled reservation takes precedence over an open one for the same
-// request. The turns that a turn continues are kept at least as long as the turn itself.
+// Records never conflict: a turn is immutable, and of two reservations for the same request the settled one gives the
+// tokens and the one with the higher revision gives the origin of the stream. The turns that a turn continues are kept
+// at least as long as the turn itself.
 //
 // Thread safety: not synchronized; the owner must hold a lock.
 
@@ -30,7 +31,7 @@
 // Returns the total tokens of all reservations except that of `exceptRequest`.
 std::uint64_t usedTokens(const ProgramReservations& reservations, std::string_view exceptRequest);
 
-// Adds a reservation, or replaces an open one of the same request with a settled one. Returns whether anything changed.
+// Adds a reservation, or merges it with the one of the same request. Returns whether anything changed.
 bool mergeReservation(ProgramReservations& reservations, const Reservation& reservation);
 
 class RecordTable {
--- a/lovagecross/records/RecordTableTest.cpp
+++ b/lovagecross/records/RecordTableTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(RecordTableTest);
     CPPUNIT_TEST(chainsGoBackToTheStart);
     CPPUNIT_TEST(settlingReplacesOnce);
+    CPPUNIT_TEST(laterOriginReplacesAnEarlierOne);
     CPPUNIT_TEST(continuedTurnsOutliveTheirOwnTime);
     CPPUNIT_TEST(programsExpireWhole);
     CPPUNIT_TEST(recordsComeInPagesInTheOrderOfArrival);
@@ -44,6 +45,27 @@
         CPPUNIT_ASSERT(!table.add(turn("a", "x")));
     }
 
+    // A stream that began at another version than first recorded must not be continued at the first one, in whichever
+    // order the records arrive.
+    void laterOriginReplacesAnEarlierOne()
+    {
+        Reservation first = reservation("r1", 100);
+        first.origin = { "v1", 1 };
+        Reservation second = first;
+        second.origin = { "v2", 2 };
+        Reservation settled = reservation("r1", 30, true);
+        settled.origin = second.origin;
+        for (const auto& order : { std::vector { first, second, settled }, std::vector { settled, second, first },
+                 std::vector { second, settled, first } }) {
+            RecordTable table;
+            for (const Reservation& record : order)
+                table.add(record);
+            const Reservation& held = table.reservationsOf("p").at("r1");
+            CPPUNIT_ASSERT_EQUAL(std::string("v2"), held.origin.softwareVersion);
+            CPPUNIT_ASSERT(held.settled && held.tokens == 30);
+        }
+    }
+
     // A reservation that arrives after its settlement must not count tokens that were never used.
     void settlingReplacesOnce()
     {
