--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -28,6 +28,12 @@
 
 namespace lovagecross {
 
+namespace detail {
+
+inline constexpr Duration minTimeToSend = std::chrono::milliseconds(5); // with less time left, a call is not sent
+
+} // namespace detail
+
 enum class AfterCall {
     KeepOpen,
     Close,
--- /dev/null
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -0,0 +1,397 @@
+#include "lovagecross/gateway/CallRunner.h"
+
+// The attempts of a call: choice of a server, permits, the exchange, and the events of a stream.
+
+#include "lovagecross/adapters/Log.h"
+#include "lovagecross/base/Hash.h"
+#include "lovagecross/http/BodyDecoder.h"
+
+#include <algorithm>
+#include <iterator>
+#include <thread>
+#include <utility>
+
+namespace lovagecross {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t maxBufferedResponseBytes = 1024 * 1024; // limit for a response that is not a stream
+constexpr std::size_t maxEventBytes = 256 * 1024; // limit for one event of a stream
+constexpr std::uint32_t maxExtraSends = 2; // allows for servers that confirm that they did not run the call
+constexpr std::uint32_t deniedPermitsToAvoidLimits = 2; // servers without a rate limit are preferred from then on
+constexpr std::uint32_t maxDeniedPermits = 8;
+constexpr Duration maxPermitWait = milliseconds(1500); // since the last event, well before callers give up
+// Minimum time without an event before a resumable stream continues on another server. Well under the two seconds after
+// which callers disconnect, and longer than the pauses of a busy engine.
+constexpr Duration minStallTimeout = milliseconds(600);
+constexpr Duration minFirstEventTimeout = milliseconds(1000);
+
+// Whether the status tells the caller that the call was not executed.
+bool claimsNotExecuted(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+// --- Attempts
+
+CallRunner::AttemptOutcome CallRunner::runAttempts(const Route& found, const std::string& service)
+{
+    ChoiceRequest request;
+    request.engine = this->servedByEngine;
+    request.promptTokens = this->call.promptTokens;
+    if (!this->call.session.empty() && found.kind == CallKind::Streaming)
+        request.affinityHash = stableHash(this->call.session) | 1U;
+    else if (found.sticky && !this->call.affinityKey.empty())
+        request.affinityHash = stableHash(this->call.affinityKey) | 1U;
+    const std::uint32_t mostSends = found.maxAttempts + maxExtraSends;
+    const std::vector<ServerEntry>& servers = this->view->serversOf(service);
+    AttemptOutcome outcome = AttemptOutcome::TryNextServer;
+    while (outcome == AttemptOutcome::TryNextServer && this->sends < mostSends) {
+        if (this->timeLeft() <= detail::minTimeToSend)
+            break;
+        std::optional<ServerEntry> chosen = this->chooseServer(request, servers);
+        if (chosen)
+            outcome = this->runAttemptIfPermitted(found, *chosen);
+        else if (!this->waitForPermit())
+            break;
+    }
+    return outcome;
+}
+
+// Chooses among the servers of the stream's version, and among all if it has no event yet and that version has none.
+std::optional<ServerEntry> CallRunner::chooseServer(
+    const ChoiceRequest& request, const std::vector<ServerEntry>& servers)
+{
+    if (!this->route->resumable || this->origin.revision == 0)
+        return this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
+    std::vector<ServerEntry> sameVersion;
+    std::copy_if(servers.begin(), servers.end(), std::back_inserter(sameVersion),
+        [this](const ServerEntry& server) { return server.softwareVersion == this->origin.softwareVersion; });
+    auto chosen = this->parts.book.choose(sameVersion, request, this->call.prompt, this->serversToSkip(sameVersion));
+    if (chosen || this->versionIsFixed())
+        return chosen;
+    return this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
+}
+
+// Makes an attempt at the chosen server once the origin of the stream is recorded and a permit was obtained.
+CallRunner::AttemptOutcome CallRunner::runAttemptIfPermitted(const Route& found, const ServerEntry& server)
+{
+    AttemptOutcome outcome = this->recordOrigin(found, server);
+    if (outcome != AttemptOutcome::TryNextServer) {
+        this->parts.book.finished(server, CallOutcome::Withheld, Duration(0), {});
+        return outcome;
+    }
+    if (!this->obtainPermit(server)) {
+        bool goOn = this->deniedPermits < maxDeniedPermits || this->waitForPermit();
+        return goOn ? AttemptOutcome::TryNextServer : AttemptOutcome::GiveUp;
+    }
+    this->triedServers.insert(server.id);
+    this->lastServer = server.id;
+    this->lastVersion = server.softwareVersion;
+    return this->runAttempt(found, server);
+}
+
+// Returns the servers that have been tried and those whose permits are used up. After some denied permits, only servers
+// without a limit are tried, if there are any.
+std::set<std::string> CallRunner::serversToSkip(const std::vector<ServerEntry>& servers)
+{
+    std::set<std::string> skip = this->triedServers;
+    PermitOutlook outlook = this->parts.permits.outlook(servers);
+    for (const std::string& id : outlook.exhausted) {
+        if (skip.insert(id).second)
+            this->noteDeniedPermit(outlook.retryAfter);
+    }
+    if (this->deniedPermits < deniedPermitsToAvoidLimits)
+        return skip;
+    std::set<std::string> unlimitedOnly = skip;
+    unlimitedOnly.insert(outlook.limited.begin(), outlook.limited.end());
+    bool anyLeft = std::any_of(servers.begin(), servers.end(), [&](const ServerEntry& server) {
+        return server.state == ServerState::Ready && unlimitedOnly.count(server.id) == 0;
+    });
+    return anyLeft ? unlimitedOnly : skip;
+}
+
+bool CallRunner::obtainPermit(const ServerEntry& server)
+{
+    Permit permit = this->parts.permits.acquire(server, this->deadline);
+    if (permit.granted)
+        return true;
+    this->parts.book.finished(server, CallOutcome::Withheld, Duration(0), {});
+    ++this->deniedPermits;
+    this->noteDeniedPermit(permit.retryAfter);
+    return false;
+}
+
+// Waits for the next permit if the response has begun: to break it off costs the caller more than a pause. Returns
+// whether servers should be tried again.
+bool CallRunner::waitForPermit()
+{
+    if (!this->headWritten || !this->nextPermitIn)
+        return false;
+    TimePoint next = this->parts.clock.now() + *this->nextPermitIn;
+    if (next > std::min(this->deadline, this->lastEventAt + maxPermitWait))
+        return false;
+    std::this_thread::sleep_for(*this->nextPermitIn);
+    this->nextPermitIn.reset();
+    this->deniedPermits = 0;
+    return !this->caller.peerClosed();
+}
+
+void CallRunner::noteDeniedPermit(Duration retryAfter)
+{
+    this->nextPermitIn = this->nextPermitIn ? std::min(*this->nextPermitIn, retryAfter) : retryAfter;
+}
+
+ServerRequest CallRunner::makeRequest(const Route& found, const ServerEntry& server) const
+{
+    ServerRequestFields order;
+    order.serverId = server.id;
+    order.timeLeft = this->timeLeft();
+    order.priority = std::min<std::uint32_t>(found.priority, 9);
+    order.resumeAfter = this->lastEventId ? this->lastEventId : this->call.lastEventId;
+    ServerRequest request;
+    request.method = this->head.method;
+    request.target = this->head.target;
+    request.headers = this->parts.codec.encodeServerRequest(this->head.headers, order);
+    request.body = this->body;
+    request.requestId = this->call.requestId;
+    request.reuse = found.repeatable() ? Reuse::Any : Reuse::IfRecentlyUsed;
+    return request;
+}
+
+CallRunner::AttemptOutcome CallRunner::runAttempt(const Route& found, const ServerEntry& server)
+{
+    ++this->sends;
+    this->parts.counters.sends.add();
+    TimePoint sentAt = this->parts.clock.now();
+    if (this->sends == 1) {
+        this->firstSendAt = sentAt;
+        this->parts.counters.timeToFirstSend.record(sentAt - this->receivedAt);
+    }
+    ServerExchange exchange(this->parts.pool, this->parts.codec, this->parts.clock, server, this->caller);
+    TimePoint headBy = found.kind == CallKind::Streaming && found.resumable
+        ? std::min(this->deadline, sentAt + std::max(minFirstEventTimeout, found.targetLatency * 2))
+        : this->deadline;
+    ExchangeStatus end = exchange.start(this->makeRequest(found, server), headBy);
+    TimePoint answeredAt = this->parts.clock.now();
+    if (end == ExchangeStatus::Ok && exchange.remarks().fromServer)
+        this->parts.permits.observe(server, exchange.remarks().requestsPerSecond, sentAt);
+    AttemptOutcome outcome = AttemptOutcome::TryNextServer;
+    CallOutcome callOutcome = CallOutcome::Answered;
+    if (end != ExchangeStatus::Ok) {
+        this->lastFailure = exchangeStatusNames.name(end);
+        outcome = this->handleFailedExchange(found, end);
+        callOutcome = end == ExchangeStatus::CallerLeft ? CallOutcome::Abandoned : CallOutcome::Failed;
+    } else if (exchange.remarks().notExecuted) {
+        ++this->refusals;
+        this->lastFailure = "refused_" + std::to_string(exchange.head().status);
+        std::string ignored;
+        if (exchange.readAll(ignored, maxBufferedResponseBytes, this->deadline) == ExchangeStatus::Ok)
+            exchange.release();
+        callOutcome = CallOutcome::Refused;
+    } else {
+        outcome = this->handleResponse(found, exchange);
+        if (outcome == AttemptOutcome::CallerLeft)
+            callOutcome = CallOutcome::Abandoned;
+        else if (outcome != AttemptOutcome::Completed)
+            callOutcome = CallOutcome::Failed;
+    }
+    this->parts.book.finished(server, callOutcome, answeredAt - sentAt, this->call.prompt);
+    if (outcome != AttemptOutcome::Completed)
+        LogLine(LogLevel::Info, "attempt")
+            .field("request", this->call.requestId)
+            .field("server", server.id)
+            .field("serverVersion", server.softwareVersion)
+            .field("end", callOutcomeNames.name(callOutcome))
+            .field("why", this->lastFailure)
+            .field("ms", toMillis(this->parts.clock.now() - sentAt))
+            .field("registryAgeMs", toMillis(this->parts.directory.registryAge()))
+            .write();
+    return outcome;
+}
+
+CallRunner::AttemptOutcome CallRunner::handleFailedExchange(const Route& found, ExchangeStatus end)
+{
+    if (end == ExchangeStatus::CallerLeft)
+        return AttemptOutcome::CallerLeft;
+    if (end == ExchangeStatus::NotSent)
+        return AttemptOutcome::TryNextServer;
+    ++this->mayHaveRun;
+    return this->mayRetry(found, end) ? AttemptOutcome::TryNextServer : AttemptOutcome::GiveUp;
+}
+
+bool CallRunner::mayRetry(const Route& found, ExchangeStatus end) const
+{
+    bool late = end == ExchangeStatus::TimedOut && this->parts.clock.now() >= this->deadline;
+    return found.repeatable() && !late && this->mayHaveRun < found.maxAttempts;
+}
+
+CallRunner::AttemptOutcome CallRunner::handleResponse(const Route& found, ServerExchange& exchange)
+{
+    int status = exchange.head().status;
+    bool success = status >= 200 && status < 300;
+    // Servers of these routes sign every success and never encode the content, so any other success is not theirs.
+    bool unexpected
+        = success && (!exchange.remarks().signedByServer || exchange.head().headers.has("Content-Encoding"));
+    if (unexpected || (!success && claimsNotExecuted(status))) {
+        this->lastFailure = "unexpected_" + std::to_string(status);
+        return this->handleFailedExchange(found, ExchangeStatus::Lost);
+    }
+    if (success && found.kind == CallKind::Streaming)
+        return this->forwardStream(found, exchange);
+    if (this->headWritten) { // the resumption of a stream was rejected
+        this->lastFailure = "resumption_" + std::to_string(status);
+        ++this->mayHaveRun;
+        return this->mayHaveRun < found.maxAttempts ? AttemptOutcome::TryNextServer : AttemptOutcome::GiveUp;
+    }
+    return this->forwardBufferedResponse(found, exchange);
+}
+
+// Forwards a response only after all of it has been read.
+CallRunner::AttemptOutcome CallRunner::forwardBufferedResponse(const Route& found, ServerExchange& exchange)
+{
+    std::string content;
+    ExchangeStatus end = exchange.readAll(content, maxBufferedResponseBytes, this->deadline);
+    if (end != ExchangeStatus::Ok) {
+        this->lastFailure = std::string("answer_") + std::string(exchangeStatusNames.name(end));
+        return this->handleFailedExchange(found, end);
+    }
+    ResponseHead response = exchange.head();
+    exchange.release();
+    return this->writeResponse(response, content);
+}
+
+// --- Streams
+
+TimePoint CallRunner::stallDeadline(const Route& found) const
+{
+    if (!found.resumable)
+        return this->deadline;
+    Duration silence = this->eventsWritten == 0 ? std::max(minFirstEventTimeout, found.targetLatency * 2)
+                                                : std::max(minStallTimeout, found.targetEventGap * 3);
+    return std::min(this->deadline, this->lastEventAt + silence);
+}
+
+CallRunner::AttemptOutcome CallRunner::forwardStream(const Route& found, ServerExchange& exchange)
+{
+    if (!this->headWritten) {
+        this->streamHead = exchange.head();
+    } else {
+        ++this->resumptions;
+        this->parts.counters.streamsResumed.add();
+    }
+    this->lastEventAt = this->parts.clock.now();
+    EventSplitter splitter;
+    for (;;) {
+        std::string content;
+        ExchangeStatus end = exchange.readSome(content, this->stallDeadline(found));
+        splitter.add(content);
+        AttemptOutcome outcome = this->forwardEvents(splitter);
+        if (outcome != AttemptOutcome::TryNextServer)
+            return outcome;
+        if (end != ExchangeStatus::Ok) {
+            this->lastFailure = std::string("stream_") + std::string(exchangeStatusNames.name(end));
+            return this->handleFailedExchange(found, end);
+        }
+        if (splitter.pendingBytes() > maxEventBytes) {
+            this->lastFailure = "stream_event_too_long";
+            return this->handleFailedExchange(found, ExchangeStatus::Lost);
+        }
+        if (!exchange.complete())
+            continue;
+        if (splitter.pendingBytes() > 0) {
+            this->lastFailure = "stream_ends_in_event";
+            return this->handleFailedExchange(found, ExchangeStatus::Lost);
+        }
+        exchange.release();
+        return this->finishStream(found);
+    }
+}
+
+// Writes the complete events that have arrived. Returns TryNextServer if reading should continue.
+CallRunner::AttemptOutcome CallRunner::forwardEvents(EventSplitter& splitter)
+{
+    std::string events;
+    std::uint64_t count = 0;
+    while (auto event = splitter.next()) {
+        bool duplicate = false;
+        if (!this->acceptEvent(*event, duplicate)) {
+            this->lastFailure = "stream_misses_event";
+            ++this->mayHaveRun;
+            return AttemptOutcome::GiveUp;
+        }
+        if (duplicate)
+            continue;
+        events += event->bytes;
+        if (event->hasData) {
+            ++count;
+            if (this->route->storesTurns)
+                this->turnOutput += event->data + '\n';
+        }
+    }
+    if (events.empty())
+        return AttemptOutcome::TryNextServer;
+    if (count > 0) // events without data are no progress, and must not keep a stalled stream open
+        this->lastEventAt = this->parts.clock.now();
+    this->eventsWritten += count;
+    if (!this->headWritten && !this->writeStreamHead())
+        return AttemptOutcome::CallerLeft;
+    return this->write(printChunk(events)) ? AttemptOutcome::TryNextServer : AttemptOutcome::CallerLeft;
+}
+
+// Returns false if at least one event before this one is missing.
+bool CallRunner::acceptEvent(const StreamEvent& event, bool& duplicate)
+{
+    if (!event.id)
+        return true;
+    std::optional<std::uint64_t> last = this->lastEventId ? this->lastEventId : this->call.lastEventId;
+    if (last && *event.id <= *last) {
+        duplicate = true;
+        return true;
+    }
+    if (last && *event.id != *last + 1)
+        return false;
+    this->lastEventId = event.id;
+    return true;
+}
+
+CallRunner::AttemptOutcome CallRunner::finishStream(const Route& found)
+{
+    TimePoint lastByteAt = this->parts.clock.now();
+    if (!this->headWritten && !this->writeStreamHead())
+        return AttemptOutcome::CallerLeft;
+    // Must precede the end of the response: the caller may send its next turn right after it.
+    this->settleTokens();
+    if (found.storesTurns) {
+        TurnRecord record { this->call.requestId, this->call.previousTurn, this->call.program,
+            std::move(this->turnInput), std::move(this->turnOutput), found.retention };
+        bool kept = this->parts.turns.keep(record, this->deadline);
+        this->parts.counters.turnWrite.record(this->parts.clock.now() - lastByteAt);
+        if (!kept) {
+            this->lastFailure = "turn_not_kept";
+            return AttemptOutcome::Truncated;
+        }
+    }
+    if (!this->write(lastChunk))
+        return AttemptOutcome::CallerLeft;
+    this->completionDelay = this->parts.clock.now() - lastByteAt;
+    this->parts.counters.completionDelay.record(*this->completionDelay);
+    this->parts.counters.answered.add();
+    this->logCall("answered", this->streamHead->status);
+    return AttemptOutcome::Completed;
+}
+
+bool CallRunner::writeStreamHead()
+{
+    HeaderList headers = forwardedFields(*this->streamHead);
+    headers.add("Transfer-Encoding", "chunked");
+    this->addConnectionFields(headers);
+    this->headWritten = true;
+    return this->write(printResponseHead(this->streamHead->status, this->streamHead->reason, headers));
+}
+
+} // namespace lovagecross
--- a/lovagecross/gateway/ServerEntry.h
+++ b/lovagecross/gateway/ServerEntry.h
@@ -31,7 +31,7 @@
     ServerState state = ServerState::Ready;
     Duration coldFor { 0 }; // remaining warm-up time, in which the server is slow
     std::int64_t startedUnixMillis = 0; // changes if the server restarts under the same id
-    std::string softwareVersion; // empty if unknown; what two versions write into a stream does not fit together
+    std::string softwareVersion; // empty if unknown; streams of two versions don't fit together
 
     bool operator==(const ServerEntry&) const = default;
 };
--- a/lovagecross/gateway/Turns.h
+++ b/lovagecross/gateway/Turns.h
@@ -57,8 +57,8 @@
 // The software version of the servers that a resumable stream may come from. It is recorded before the first event
 // reaches the caller, and replaced by a higher revision while there is no event.
 struct StreamOrigin {
-    std::string softwareVersion; // empty if no server has been chosen
-    std::uint32_t revision = 0;
+    std::string softwareVersion; // empty for servers without a version, which count as one version
+    std::uint32_t revision = 0; // 0 if nothing is recorded
 
     bool operator==(const StreamOrigin&) const = default;
 };
@@ -77,7 +77,7 @@
     GrantStatus status = GrantStatus::Unavailable;
     std::uint64_t usedTokens = 0; // by other turns; unsettled grants count in full
     Duration retryAfter { 0 }; // for Unavailable: when the caller should retry
-    StreamOrigin resumed {}; // for Granted: the origin of the stream of `resumes`; no version if none is recorded
+    StreamOrigin resumed {}; // for Granted: the origin of the stream of `resumes`
 };
 
 class TokenBudgets {
