--- a/review/3/main.cpp
+++ b/review/3/main.cpp
@@ -1,81 +1,66 @@
-// A record node is retired by the operator and is removed as soon as it reports that it is empty. Right after that
-// another record node loses its disk. Programs whose token budget is spent must stay refused.
+// Conversations that one program begins and another one continues, as after a final fault. The consumers of one zone
+// then move to another zone. Turns that continue a turn that was answered a moment ago must still reach a server.
 #include "../common/Harness.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int programs = 40;
-constexpr long budget = 64;
-constexpr long mostOfATurn = 16;
-constexpr int conversations = 500;
-constexpr std::size_t inputBytes = 128 * 1024;
+constexpr int conversations = 40; // half of them move: a share of 0.5
+constexpr long retentionMs = 4000;
+constexpr long turnIntervalMs = 1500;
+constexpr long continuedForMs = 78000;
+constexpr int tries = 6;
+constexpr long tryIntervalMs = 300;
 
 const char* const configuration = R"({"version":7,"routes":[
 {"name":"artwork-chat","host":"agents.example","path_prefix":"/chat/","kind":"streaming","timeout_ms":4000,
-"target_latency_ms":500,"priority":2,"service":"models","max_attempts":2,"stateful":true,"retention_s":60.0,
-"sticky":true,"resumable":false,"target_gap_ms":200},
-{"name":"quote-draft","host":"agents.example","path_prefix":"/quote/","kind":"streaming","timeout_ms":4000,
-"target_latency_ms":250,"priority":0,"service":"models","max_attempts":2,"stateful":false,"retention_s":60.0,
-"sticky":true,"resumable":true,"target_gap_ms":200}],
+"target_latency_ms":500,"priority":2,"service":"models","max_attempts":2,"stateful":true,"retention_s":4.0,
+"sticky":true,"resumable":false,"target_gap_ms":200}],
 "services":[{"name":"models","health_path":"/health","max_connections":210,"protocol":"h1","tls":false,
 "engine":{"slots":24,"kv_tokens":274490,"tokens_per_event":4}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
-struct Program {
-    std::string id;
-    long tokens = 0; // handed to the caller in all its turns
-    long refusals = 0; // 402
+struct Conversation {
+    std::string lastTurn;
+    Clock::time_point lastAnsweredAt;
+    int turns = 0;
+    bool failed = false;
+    int triesInTime = 0; // of the last turn, while the turn that it names was answered less than retention_s ago
+    bool reachedServer = false;
+    std::string statuses;
 };
 
-std::vector<std::pair<std::string, std::string>> turnFields(const std::string& id, const std::string& program)
+Answer sendTurn(int port, const std::string& id, const std::string& program, const std::string& previous)
 {
-    return { { "X-Lovagecross-Request-Id", id }, { "X-Lovagecross-Program-Id", program },
-        { "X-Lovagecross-Session-Id", program + "-line" }, { "X-Lovagecross-Program-Deadline-Ms", "60000" },
-        { "X-Lovagecross-Token-Budget", std::to_string(budget) },
-        { "X-Lovagecross-Token-Usage", "100," + std::to_string(mostOfATurn) }, { "X-Lovagecross-Model", "m" } };
+    std::vector<std::pair<std::string, std::string>> fields { { "X-Lovagecross-Request-Id", id },
+        { "X-Lovagecross-Program-Id", program }, { "X-Lovagecross-Session-Id", program + "-line" },
+        { "X-Lovagecross-Program-Deadline-Ms", "120000" }, { "X-Lovagecross-Token-Budget", "100000" },
+        { "X-Lovagecross-Token-Usage", "100,16" }, { "X-Lovagecross-Model", "m" } };
+    if (!previous.empty())
+        fields.emplace_back("X-Lovagecross-Previous-Turn", previous);
+    Answer answer = send(port, "POST", "/chat/turn", fields, "input of " + id + "\n", 2000);
+    record.line("program " + program + " turn " + id + (previous.empty() ? "" : " after " + previous) + ": "
+        + std::to_string(answer.status) + (answer.complete ? " whole" : " not whole") + ", "
+        + std::to_string(answer.events()) + " events");
+    return answer;
 }
 
-void sendTurn(Program& program, int port)
+bool sendNext(Conversation& conversation, int port, const std::string& program)
 {
     std::string id = newId("turn");
-    Answer answer = send(port, "POST", "/quote/draft", turnFields(id, program.id), "input of " + id, 2000);
-    program.tokens += answer.events() * tokensPerEvent;
-    program.refusals += answer.status == 402 ? 1 : 0;
-    record.line("program " + program.id + " turn " + id + ": " + std::to_string(answer.status) + ", "
-        + std::to_string(answer.events()) + " events, " + std::to_string(program.tokens) + " tokens so far");
-}
-
-void sendTurns(std::vector<Program>& all, int port)
-{
-    std::vector<std::thread> callers;
-    for (Program& program : all)
-        callers.emplace_back([&program, port] { sendTurn(program, port); });
-    for (std::thread& caller : callers)
-        caller.join();
-}
-
-// The conversations that the record nodes keep: one turn with a long input each. Returns how many were answered whole.
-int keepConversations(int port)
-{
-    std::atomic<int> next { 0 };
-    std::atomic<int> kept { 0 };
-    std::vector<std::thread> callers;
-    for (int i = 0; i < 8; ++i) {
-        callers.emplace_back([&] {
-            for (int number = next++; number < conversations; number = next++) {
-                std::string id = newId("kept");
-                Answer answer
-                    = send(port, "POST", "/chat/turn", turnFields(id, "conversation" + std::to_string(number)),
-                        std::string(inputBytes, static_cast<char>('a' + number % 26)), 4000);
-                kept += answer.success() ? 1 : 0;
-            }
-        });
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        if (sendTurn(port, id, program, conversation.lastTurn).success()) {
+            conversation.lastTurn = id;
+            conversation.lastAnsweredAt = Clock::now();
+            ++conversation.turns;
+            return true;
+        }
+        sleepMs(100);
+        id = newId("turn");
     }
-    for (std::thread& caller : callers)
-        caller.join();
-    return kept;
+    conversation.failed = true;
+    return false;
 }
 
 } // namespace
@@ -91,76 +76,76 @@
     std::vector<std::unique_ptr<Server>> servers;
     for (int i = 0; i < 6; ++i) {
         std::string zone = std::string("zone-") + static_cast<char>('a' + i % 3);
-        servers.push_back(
-            std::make_unique<Server>(Server::Options { "i-model" + std::to_string(i), "models", zone, "/" }, ledger));
+        servers.push_back(std::make_unique<Server>(
+            Server::Options { "i-model" + std::to_string(i), "models", zone, "/chat/" }, ledger));
         if (!servers.back()->start())
             return test.finish(2, "a server can't listen");
         servers.back()->heartbeat(store);
     }
     Heartbeats heartbeats(servers, store);
     Deployment deployment(test.repository, test.folder, store);
-    deployment.add("storage-a1", "zone-a", true);
-    deployment.add("storage-b1", "zone-b", true);
-    Node& wiped = deployment.add("storage-b2", "zone-b", true);
-    deployment.add("storage-c1", "zone-c", true);
-    Node& retiring = deployment.add("storage-c2", "zone-c", true);
-    deployment.add("frontend-a", "zone-a", false);
-    Node& entry = deployment.add("frontend-b", "zone-b", false);
+    for (const char* name : { "a1", "a2", "b1", "b2", "c1", "c2" })
+        deployment.add(std::string("storage-") + name, std::string("zone-") + name[0], true);
+    Node& home = deployment.add("frontend-a", "zone-a", false);
+    Node& away = deployment.add("frontend-b", "zone-b", false);
     for (auto& node : deployment.nodes)
         deployment.start(*node, true);
-    bool started
-        = deployment.waitUntil([&] { return deployment.rosterEpoch() >= 5 && deployment.ready(entry); }, 15000);
+    bool started = deployment.waitUntil(
+        [&] { return deployment.rosterEpoch() >= 6 && deployment.ready(home) && deployment.ready(away); }, 15000);
     if (!started)
         return test.finish(2, "the deployment did not start");
     sleepMs(10000 - std::min(10000L, sinceStartMs())); // traffic starts 10 s after the machines do
 
-    int kept = keepConversations(entry.callerPort);
-    record.line(std::to_string(kept) + " conversations kept");
-    if (kept < conversations * 9 / 10)
-        return test.finish(2, "the conversations could not be kept before the disruption");
-    // Each program spends its budget.
-    std::vector<Program> all(programs);
-    for (int i = 0; i < programs; ++i)
-        all[i].id = "program" + std::to_string(i);
-    auto spent = [&all] {
-        return std::all_of(all.begin(), all.end(), [](const Program& program) { return program.refusals > 0; });
-    };
-    for (int round = 0; round < 15 && !spent(); ++round)
-        sendTurns(all, entry.callerPort);
-    if (!spent())
-        return test.finish(2, "the programs could not spend their budgets before the disruption");
-    sleepMs(3000);
-
-    if (test.withTrouble) {
-        record.line("the operator asks to retire storage-c2");
-        store.put("retirements", "storage-c2", "{\"duration_s\":10}");
-        bool completed = deployment.waitUntil(
-            [&] { return store.status("retirements", "storage-c2").find("completed") != std::string::npos; }, 10000, 2);
-        record.line(completed ? "storage-c2 reports that it is empty" : "storage-c2 did not report that it is empty");
-        if (!completed)
-            return test.finish(2, "the retirement was not completed");
-        deployment.kill(retiring); // the platform removes the machine with its disk
-        deployment.wipeDisk(retiring);
-        deployment.kill(wiped);
-        deployment.wipeDisk(wiped);
-        sleepMs(1000);
-        deployment.start(wiped, false);
-    }
-    // The programs go on asking, until well after all machines are back.
-    auto end = Clock::now() + std::chrono::seconds(20);
-    while (Clock::now() < end) {
-        sendTurns(all, entry.callerPort);
-        sleepMs(300);
+    std::vector<Conversation> all(conversations);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < conversations; ++i) {
+        callers.emplace_back([&, i] {
+            Conversation& conversation = all[i];
+            std::string name = std::to_string(i);
+            auto end = Clock::now() + milliseconds(continuedForMs);
+            if (!sendNext(conversation, home.callerPort, "beginner" + name))
+                return;
+            while (Clock::now() < end) {
+                sleepMs(turnIntervalMs);
+                if (!sendNext(conversation, home.callerPort, "follower" + name))
+                    return;
+            }
+            // With the disruption, half of the consumers have moved to the other zone.
+            bool moves = test.withTrouble && i % 2 == 1;
+            int port = moves ? away.callerPort : home.callerPort;
+            for (int attempt = 0; attempt < tries && !conversation.reachedServer; ++attempt) {
+                std::string id = newId("turn");
+                Answer answer = sendTurn(port, id, "follower" + name, conversation.lastTurn);
+                bool inTime = Clock::now() - conversation.lastAnsweredAt < milliseconds(retentionMs);
+                conversation.triesInTime += inTime ? 1 : 0;
+                conversation.statuses += ' ' + std::to_string(answer.status);
+                for (const Run& run : ledger.all())
+                    conversation.reachedServer = conversation.reachedServer || run.request == id;
+                sleepMs(tryIntervalMs);
+            }
+        });
     }
+    for (std::thread& caller : callers)
+        caller.join();
+    int firstTurns = 0;
+    for (int i = 0; i < 20; ++i)
+        firstTurns += sendTurn(away.callerPort, newId("first"), "new" + std::to_string(i), "").success() ? 1 : 0;
+    if (firstTurns < 18)
+        return test.finish(2, "first turns are not served");
     int broken = 0;
-    for (const Program& program : all) {
-        if (program.tokens <= budget + mostOfATurn)
+    for (int i = 0; i < conversations; ++i) {
+        const Conversation& conversation = all[i];
+        if (conversation.failed)
+            return test.finish(2, "conversation " + std::to_string(i) + " broke off before the consumers moved");
+        record.line("conversation " + std::to_string(i) + ": " + std::to_string(conversation.turns) + " turns, then"
+            + conversation.statuses);
+        if (conversation.reachedServer || conversation.triesInTime < 5)
             continue;
         ++broken;
-        record.line("BUDGET broken: program " + program.id + " was handed " + std::to_string(program.tokens)
-            + " tokens, budget " + std::to_string(budget) + " + " + std::to_string(mostOfATurn));
+        record.line("LOST: conversation " + std::to_string(i) + ": the turn after " + conversation.lastTurn
+            + " reached no server in " + std::to_string(conversation.triesInTime) + " tries");
     }
     return test.finish(broken > 0 ? 1 : 0,
-        std::to_string(broken) + " of " + std::to_string(programs)
-            + " programs were handed more than their budget and one turn");
+        std::to_string(broken) + " of " + std::to_string(conversations)
+            + " conversations could not be continued after the consumers had moved");
 }
