--- a/review/2/main.cpp
+++ b/review/2/main.cpp
@@ -100,6 +100,9 @@
     }
     Heartbeats heartbeats(servers, store);
     Deployment deployment(test.repository, test.folder, store);
+    deployment.storageMegabytes = 270;
+    deployment.diskMegabytes = 340;
+    deployment.frontendMegabytes = 260;
     deployment.add("storage-a1", "zone-a", true);
     deployment.add("storage-b1", "zone-b", true);
     deployment.add("storage-b2", "zone-b", true);
@@ -135,7 +138,7 @@
     if (test.withTrouble) {
         long epoch = deployment.rosterEpoch();
         record.line("the operator asks to retire storage-c2");
-        store.put("retirements", "storage-c2", "{\"duration_s\":10}");
+        store.put("retirements", "storage-c2", "{\"duration_s\":9}");
         if (!deployment.waitUntil([&] { return deployment.rosterEpoch() > epoch; }, 10000, 2))
             return test.finish(2, "the node to be retired did not leave the roster");
         record.line("storage-c2 has left the roster");
--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -958,6 +958,11 @@
 
     std::vector<std::unique_ptr<Node>> nodes;
 
+    // Machines as in the site file of the case.
+    int storageMegabytes = 130;
+    int diskMegabytes = 360;
+    int frontendMegabytes = 110;
+
 private:
     std::string settings(const Node& node, bool firstStart) const
     {
@@ -972,10 +977,13 @@
             + address(this->store.port()) + "\", \"seeds\": [" + seeds + "], \"firstStart\": "
             + (firstStart ? "true" : "false") + ", \"lossMachines\": 1, \"lossDataCentres\": 1, \"graceMillis\": 8000";
         if (node.stores)
-            text += ", \"dataFolder\": \"" + node.dataFolder + "\", \"diskMegabytes\": 360, \"memoryMegabytes\": 130 }";
+            text += ", \"dataFolder\": \"" + node.dataFolder
+                + "\", \"diskMegabytes\": " + std::to_string(this->diskMegabytes)
+                + ", \"memoryMegabytes\": " + std::to_string(this->storageMegabytes) + " }";
         else
             text += ", \"callerAddress\": \"" + address(node.callerPort) + "\", \"readyAddress\": \""
-                + address(node.readyPort) + "\", \"readyPath\": \"/api/readiness\", \"memoryMegabytes\": 110 }";
+                + address(node.readyPort) + "\", \"readyPath\": \"/api/readiness\", \"memoryMegabytes\": "
+                + std::to_string(this->frontendMegabytes) + " }";
         return text;
     }
 
