Records expire once a majority of their replicas needs them no more

Cause: each record node decided alone, from its own table, that a turn had expired. A turn extended the turns that it continues only on the nodes that store it. Those are the replicas of its own program, so the first turns of another program, on other nodes, expired after 2 x retention + 60 s while the conversation was in use. The same happened within one program: a node that had missed the continuation, or only one turn in the middle, let its copy of the first turns expire. Reservations had the same fault: a replica whose own part was old forgot it while the program went on at the others, and a majority with that replica granted the budget again.

Change: a turn is stored with the conversation that it continues (`Conversation::group`, the program that began it), so that all turns of a conversation have the same replicas. What is needed is derived from the turns themselves at each check, so nothing has to be logged, and a restart, a fetch, a compaction or a new replica forgets no extension. A turn's write costs no message more, whatever the length of its conversation. Turns with a missing predecessor keep their whole group meanwhile. Budgets at the platform are removed only if no disk has a later reservation of the program.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -116,6 +116,7 @@
     switch (conversation.status) {
     case ConversationStatus::Found:
         this->body = std::move(conversation.text) + this->body;
+        this->conversationGroup = std::move(conversation.group);
         return std::nullopt;
     case ConversationStatus::Absent:
         return this->refuse(404, "the previous turn does not exist");
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -110,6 +110,7 @@
     const Route* route = nullptr;
     std::optional<AfterCall> refusal; // after AttemptOutcome::Refused
     bool closeAfterCall = false; // so that the caller's next call can reach another node
+    std::string conversationGroup; // of the preceding turns
     std::string turnInput; // the request body without the preceding conversation
 
     // Attempts so far
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -368,7 +368,8 @@
     this->settleTokens();
     if (found.storesTurns) {
         TurnRecord record { this->call.requestId, this->call.previousTurn, this->call.program,
-            std::move(this->turnInput), std::move(this->turnOutput), found.retention };
+            std::move(this->turnInput), std::move(this->turnOutput), found.retention,
+            std::move(this->conversationGroup) };
         bool kept = this->parts.turns.keep(record, this->deadline);
         this->parts.counters.turnWrite.record(this->parts.clock.now() - lastByteAt);
         if (!kept) {
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -96,7 +96,9 @@
         auto found = this->kept.find(id);
         if (found == this->kept.end())
             return { ConversationStatus::Absent, {}, 0, Duration(0) };
-        return { ConversationStatus::Found, found->second.input + found->second.output, 1, Duration(0) };
+        const TurnRecord& turn = found->second;
+        return { ConversationStatus::Found, turn.input + turn.output, 1, Duration(0),
+            turn.group.empty() ? turn.program : turn.group };
     }
     bool keep(const TurnRecord& record, TimePoint) override
     {
--- a/lovagecross/gateway/GatewayStreamTest.cpp
+++ b/lovagecross/gateway/GatewayStreamTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(truncatedStreamIsNotCompleted);
     CPPUNIT_TEST(streamWithMissingEventIsAborted);
     CPPUNIT_TEST(turnIncludesPrecedingConversation);
+    CPPUNIT_TEST(turnsOfAnotherProgramAreStoredWithTheFirst);
     CPPUNIT_TEST(unstoredTurnIsNotCompleted);
     CPPUNIT_TEST(exhaustedBudgetIsRejectedWithoutRunning);
     CPPUNIT_TEST_SUITE_END();
@@ -93,6 +94,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), bodies.size());
     }
 
+    // Guards against turns of one conversation that are stored apart and expire apart.
+    void turnsOfAnotherProgramAreStoredWithTheFirst()
+    {
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            return connection.write(streamHead(request) + printChunk(event(1)) + "0\r\n\r\n");
+        });
+        this->sendRequest(post("/turn/", "t1", "first|", "Program: beginner\r\n"));
+        this->sendRequest(post("/turn/", "t2", "second|", "Program: follower\r\nPrevious: t1\r\n"));
+        this->sendRequest(post("/turn/", "t3", "third|", "Program: another\r\nPrevious: t2\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string("beginner"), this->turns->kept["t2"].group);
+        CPPUNIT_ASSERT_EQUAL(std::string("beginner"), this->turns->kept["t3"].group);
+    }
+
     // The end of a response tells the caller that the turn was stored.
     void unstoredTurnIsNotCompleted()
     {
--- a/lovagecross/gateway/Turns.h
+++ b/lovagecross/gateway/Turns.h
@@ -21,6 +21,7 @@
     std::string input; // the caller's request body
     std::string output; // data of each response event, followed by a line feed
     Duration retention { 0 };
+    std::string group {}; // as read with the preceding turns; empty for the first turn of a conversation
 };
 
 enum class ConversationStatus {
@@ -34,6 +35,9 @@
     std::string text; // input and output of each turn, oldest first
     std::size_t turns = 0;
     Duration retryAfter { 0 }; // for Unavailable: when the caller should retry
+    // Where the conversation is stored: the program that began it. Its further turns must be stored there too,
+    // whichever program continues it, so that they expire together.
+    std::string group {};
 };
 
 class TurnStore {
--- a/lovagecross/records/PlatformRecords.cpp
+++ b/lovagecross/records/PlatformRecords.cpp
@@ -44,10 +44,12 @@
     return bytes ? decodeRecordResponse(*bytes) : std::nullopt;
 }
 
-bool allExpired(const RecordResponse& records, std::int64_t nowUnixMillis)
+bool anyNeeded(
+    const RecordResponse& records, std::int64_t nowUnixMillis, const std::function<bool(const std::string&)>& isInUse)
 {
-    return std::all_of(records.reservations.begin(), records.reservations.end(),
-        [nowUnixMillis](const Reservation& record) { return record.expiresUnixMillis < nowUnixMillis; });
+    return std::any_of(records.reservations.begin(), records.reservations.end(), [&](const Reservation& record) {
+        return record.expiresUnixMillis >= nowUnixMillis || isInUse(record.program);
+    });
 }
 
 } // namespace
@@ -177,13 +179,14 @@
     this->removed.add(result.ok() ? 1 : 0);
 }
 
-void PlatformRecords::removeExpiredBudgets(std::int64_t nowUnixMillis)
+void PlatformRecords::removeExpiredBudgets(
+    std::int64_t nowUnixMillis, const std::function<bool(const std::string&)>& isInUse)
 {
     auto listed = this->list(budgetPrefix);
     if (!listed)
         return; // the next call retries
     for (const ListedObject& entry : *listed) {
-        if (entry.records && allExpired(*entry.records, nowUnixMillis))
+        if (entry.records && !anyNeeded(*entry.records, nowUnixMillis, isInUse))
             this->removed.add(this->store.remove(entry.key, entry.version).ok() ? 1 : 0);
     }
 }
--- a/lovagecross/records/PlatformRecords.h
+++ b/lovagecross/records/PlatformRecords.h
@@ -16,6 +16,7 @@
 #include "lovagecross/records/RecordTable.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -61,7 +62,9 @@
     std::optional<std::vector<StoredTurn>> turns();
 
     void removeTurn(const std::string& id);
-    void removeExpiredBudgets(std::int64_t nowUnixMillis);
+    // Removes the objects of programs whose reservations at the platform have all expired, unless `isInUse` returns
+    // true: the program may have later reservations on the disks of the members.
+    void removeExpiredBudgets(std::int64_t nowUnixMillis, const std::function<bool(const std::string&)>& isInUse);
 
 private:
     struct ListedObject {
--- a/lovagecross/records/PlatformRecordsTest.cpp
+++ b/lovagecross/records/PlatformRecordsTest.cpp
@@ -87,9 +87,13 @@
     void expiredBudgetsAreRemoved()
     {
         CPPUNIT_ASSERT(this->records.reserve(reservation("a", 1), {}, 1000) == PlatformVote::Accepted);
-        this->records.removeExpiredBudgets(1000);
+        auto unused = [](const std::string&) { return false; };
+        auto inUse = [](const std::string& program) { return program == "program"; };
+        this->records.removeExpiredBudgets(1000, unused);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->records.reservations()->size());
-        this->records.removeExpiredBudgets(1001);
+        this->records.removeExpiredBudgets(1001, inUse); // with later reservations on the members' disks
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->records.reservations()->size());
+        this->records.removeExpiredBudgets(1001, unused);
         CPPUNIT_ASSERT(this->records.reservations()->empty());
     }
 };
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -473,13 +473,14 @@
 
 bool RecordClient::keep(const TurnRecord& record, TimePoint deadline)
 {
-    StoredTurn turn { record.id, record.previous, record.input, record.output, record.program,
+    const std::string& group = record.group.empty() ? record.program : record.group;
+    StoredTurn turn { record.id, record.previous, record.input, record.output, group,
         expiryOf(record.retention, this->parts.clock) };
     TimePoint until = std::min(deadline, this->parts.clock.now() + maxKeepDuration);
     bool kept = false;
     while (!kept) {
         Roster roster = this->roster();
-        auto replicas = replicasOf(roster, record.program, this->settings.tolerance);
+        auto replicas = replicasOf(roster, group, this->settings.tolerance);
         auto enough = [this](const Answers& answersSoFar) {
             return enoughCopies(answersSoFar.accepted, this->settings.tolerance);
         };
@@ -497,7 +498,7 @@
             break; // the caller's next attempt reaches another node
     }
     if (kept)
-        this->cache.add({ record.id, record.previous, record.input + record.output });
+        this->cache.add({ record.id, record.previous, record.input + record.output, group });
     return kept;
 }
 
@@ -508,21 +509,22 @@
     std::map<std::string, StoredTurn> fetched;
     std::string next = id;
     while (!next.empty() && texts.size() < maxChainTurns) {
-        if (auto cached = this->cache.find(next)) {
-            texts.push_back(std::move(cached->text));
-            next = cached->previous;
-            continue;
+        auto turn = this->cache.find(next);
+        if (auto found = fetched.find(next); !turn && found != fetched.end()) {
+            const StoredTurn& stored = found->second;
+            turn = CachedTurn { stored.id, stored.previous, stored.input + stored.output, stored.group };
+            this->cache.add(*turn);
         }
-        auto found = fetched.find(next);
-        if (found != fetched.end()) {
-            StoredTurn& turn = found->second;
-            this->cache.add({ turn.id, turn.previous, turn.input + turn.output });
-            texts.push_back(turn.input + turn.output);
-            next = turn.previous;
+        if (turn) {
+            if (next == id)
+                result.group = turn->group;
+            texts.push_back(std::move(turn->text));
+            next = turn->previous;
             continue;
         }
         bool absent = false;
-        if (this->readMissing(next, program, deadline, fetched, absent))
+        const std::string& group = result.group.empty() ? program : result.group;
+        if (this->readMissing(next, group, deadline, fetched, absent))
             continue;
         // Only the requested turn may be reported as absent. A missing earlier turn is a copy that is currently
         // unreachable.
@@ -543,15 +545,15 @@
     return result;
 }
 
-// Reads the turn `id` and the turns that it continues, first from the replicas of `program`, the near ones before the
+// Reads the turn `id` and the turns that it continues, first from the replicas of `group`, the near ones before the
 // others, then from all members, then from the platform. Sets `absent` if every possible holder reports that it does
 // not have the turn.
-bool RecordClient::readMissing(const std::string& id, const std::string& program, TimePoint deadline,
+bool RecordClient::readMissing(const std::string& id, const std::string& group, TimePoint deadline,
     std::map<std::string, StoredTurn>& found, bool& absent)
 {
     for (int round = 0; round < maxRosterChangesPerRead; ++round) {
         Roster roster = this->roster();
-        auto replicas = replicasOf(roster, program, this->settings.tolerance);
+        auto replicas = replicasOf(roster, group, this->settings.tolerance);
         std::vector<const RosterMember*> nearReplicas;
         std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(nearReplicas),
             [this](const RosterMember* member) { return member->dataCentre == this->settings.dataCentre; });
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -88,7 +88,7 @@
     std::vector<const RosterMember*> replicasNearFirst(const Roster& known, const std::string& program) const;
     void addFirstWaveGrant(const std::string& requestId, std::uint64_t epoch);
     std::uint64_t takeFirstWaveGrant(const std::string& requestId);
-    bool readMissing(const std::string& id, const std::string& program, TimePoint deadline,
+    bool readMissing(const std::string& id, const std::string& group, TimePoint deadline,
         std::map<std::string, StoredTurn>& found, bool& absent);
     Answers readFrom(const Roster& known, const std::vector<const RosterMember*>& members, const std::string& id,
         Duration timeout, std::map<std::string, StoredTurn>& found);
--- a/lovagecross/records/RecordMessages.cpp
+++ b/lovagecross/records/RecordMessages.cpp
@@ -69,6 +69,17 @@
     return request;
 }
 
+ConfirmExpiryRequest read(const proto::ConfirmExpiry& in)
+{
+    ConfirmExpiryRequest request;
+    request.epoch = in.epoch();
+    for (const proto::ExpiringTurn& turn : in.turns())
+        request.expired.turns.push_back({ turn.id(), turn.group() });
+    for (const std::string& program : in.programs())
+        request.expired.programs.push_back(program);
+    return request;
+}
+
 struct RequestWriter {
     proto::RecordRequest& out;
 
@@ -102,6 +113,18 @@
             write(roster, fill.add_held());
     }
     void operator()(const InspectRequest&) const { this->out.mutable_inspect(); }
+    void operator()(const ConfirmExpiryRequest& request) const
+    {
+        proto::ConfirmExpiry& confirm = *this->out.mutable_confirm_expiry();
+        confirm.set_epoch(request.epoch);
+        for (const ExpiringTurn& turn : request.expired.turns) {
+            proto::ExpiringTurn* entry = confirm.add_turns();
+            entry->set_id(turn.id);
+            entry->set_group(turn.group);
+        }
+        for (const std::string& program : request.expired.programs)
+            confirm.add_programs(program);
+    }
 };
 
 template <typename Message> bool parse(std::string_view bytes, Message& message)
@@ -139,6 +162,8 @@
         return read(in.fill());
     case proto::RecordRequest::kInspect:
         return InspectRequest {};
+    case proto::RecordRequest::kConfirmExpiry:
+        return read(in.confirm_expiry());
     default:
         return std::nullopt;
     }
@@ -160,6 +185,10 @@
     out.set_last(response.last);
     out.set_session(response.session);
     out.set_filled_epoch(response.filledEpoch);
+    for (bool confirmed : response.turnsConfirmed)
+        out.add_turns_confirmed(confirmed);
+    for (bool confirmed : response.programsConfirmed)
+        out.add_programs_confirmed(confirmed);
     return out.SerializeAsString();
 }
 
@@ -182,6 +211,8 @@
     response.last = in.last();
     response.session = in.session();
     response.filledEpoch = in.filled_epoch();
+    response.turnsConfirmed.assign(in.turns_confirmed().begin(), in.turns_confirmed().end());
+    response.programsConfirmed.assign(in.programs_confirmed().begin(), in.programs_confirmed().end());
     return response;
 }
 
--- a/lovagecross/records/RecordMessages.h
+++ b/lovagecross/records/RecordMessages.h
@@ -25,7 +25,7 @@
     std::string previous; // empty at the start of a conversation
     std::string input;
     std::string output;
-    std::string group; // program of the turn; determines the replicas
+    std::string group; // program that began the conversation; determines the replicas
     std::int64_t expiresUnixMillis = 0;
 };
 
@@ -76,8 +76,28 @@
 
 struct InspectRequest { };
 
+struct ExpiringTurn {
+    std::string id;
+    std::string group;
+};
+
+// Records that a node has kept for their retention time and that no record on its disk needs any more.
+struct ExpiredRecords {
+    std::vector<ExpiringTurn> turns;
+    std::vector<std::string> programs; // whose reservations have all expired
+
+    bool empty() const { return this->turns.empty() && this->programs.empty(); }
+};
+
+// Asks a replica whether the sender may remove expired records. The receiver may know of a later turn or reservation
+// that the sender has missed.
+struct ConfirmExpiryRequest {
+    std::uint64_t epoch = 0;
+    ExpiredRecords expired;
+};
+
 using RecordRequest = std::variant<StoreTurnRequest, ReadChainRequest, ReserveRequest, SettleRequest, AdoptRequest,
-    FillRequest, InspectRequest>;
+    FillRequest, InspectRequest, ConfirmExpiryRequest>;
 
 enum class RecordStatus {
     Ok,
@@ -109,6 +129,9 @@
     std::uint64_t session = 0; // Fill: positions are valid only within one session of the sender
     // Inspect, Fill, Reserve: the newest epoch for which the sender has fetched all records that other members held.
     std::uint64_t filledEpoch = 0;
+    // ConfirmExpiry: for each turn and program of the request, whether the sender needs it no more either.
+    std::vector<bool> turnsConfirmed;
+    std::vector<bool> programsConfirmed;
 };
 
 std::string encodeRecordRequest(const RecordRequest& request);
--- a/lovagecross/records/RecordNode.cpp
+++ b/lovagecross/records/RecordNode.cpp
@@ -46,7 +46,6 @@
         return recovery.error;
     this->disk = recovery.disk;
     this->newDisk = recovery.wasEmpty;
-    std::int64_t now = this->parts.clock.unixMillis();
     std::size_t count = 0;
     Roster known;
     {
@@ -63,7 +62,6 @@
             else
                 this->table.add(std::get<Reservation>(std::move(*entry)));
         }
-        this->table.expire(now);
         this->holdings.restore(known, this->disk);
     }
     LogLine(LogLevel::Info, "records_loaded")
@@ -109,6 +107,10 @@
         RecordResponse operator()(const AdoptRequest& body) const { return this->node.handleAdopt(body); }
         RecordResponse operator()(const FillRequest& body) const { return this->node.handleFill(body); }
         RecordResponse operator()(const InspectRequest&) const { return this->node.handleInspect(); }
+        RecordResponse operator()(const ConfirmExpiryRequest& body) const
+        {
+            return this->node.handleConfirmExpiry(body);
+        }
     };
     return std::visit(Handler { *this }, request);
 }
--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -20,6 +20,7 @@
 #include "lovagecross/base/Clock.h"
 #include "lovagecross/ports/ObjectStore.h"
 #include "lovagecross/ports/Peer.h"
+#include "lovagecross/records/ExpiryVotes.h"
 #include "lovagecross/records/MemberFailureDetector.h"
 #include "lovagecross/records/PlatformRecords.h"
 #include "lovagecross/records/RecordLog.h"
@@ -104,6 +105,7 @@
     RecordResponse handleAdopt(const AdoptRequest& request);
     RecordResponse handleFill(const FillRequest& request) const;
     RecordResponse handleInspect() const;
+    RecordResponse handleConfirmExpiry(const ConfirmExpiryRequest& request);
     bool acceptsEpoch(std::uint64_t epoch, RecordResponse& response);
 
     struct MaintenanceState {
@@ -134,6 +136,9 @@
     void drainPlatform(const Roster& roster);
     void leave();
     void expire();
+    void removeExpired();
+    bool askForExpiry(const Roster& roster, ExpiryVotes& votes);
+    void applyExpiry(const ExpiryVotes& votes, bool allAnswered);
     std::optional<RecordResponse> sendRequest(
         const std::string& address, const RecordRequest& request, Duration timeout);
     std::vector<std::string> liveEntries() const;
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -143,7 +143,10 @@
 {
     for (const std::string& id : std::exchange(this->drainedTurnIds, {}))
         this->platform.removeTurn(id);
-    this->platform.removeExpiredBudgets(this->parts.clock.unixMillis());
+    this->platform.removeExpiredBudgets(this->parts.clock.unixMillis(), [this](const std::string& program) {
+        std::lock_guard lock(this->mutex);
+        return !this->table.reservationsOf(program).empty();
+    });
     auto turns = this->platform.turns();
     if (!turns)
         return;
@@ -458,10 +461,7 @@
 
 void RecordNode::expire()
 {
-    {
-        std::lock_guard lock(this->mutex);
-        this->table.expire(this->parts.clock.unixMillis());
-    }
+    this->removeExpired();
     this->log.compactIfLarge([this] { return this->liveEntries(); });
 }
 
--- a/lovagecross/records/RecordTable.cpp
+++ b/lovagecross/records/RecordTable.cpp
@@ -46,33 +46,24 @@
 bool RecordTable::add(const StoredRecord& record)
 {
     if (const auto* turn = std::get_if<StoredTurn>(&record)) {
-        auto [entry, added] = this->turns.emplace(turn->id, TurnEntry { *turn, this->lastPosition + 1 });
+        auto [entry, added]
+            = this->turns.emplace(turn->id, TurnEntry { *turn, this->lastPosition + 1, turn->expiresUnixMillis });
         if (!added)
             return false;
         this->heldBytes += sizeOf(*turn);
         this->appendToArrivalOrder({ true, turn->id, {} });
-        this->extendAncestorExpiry(*turn);
         return true;
     }
     const auto& reservation = std::get<Reservation>(record);
-    if (!mergeReservation(this->programs[reservation.program], reservation))
+    ProgramEntry& program = this->programs[reservation.program];
+    if (!mergeReservation(program.reservations, reservation))
         return false;
+    program.neededUntilUnixMillis = std::max(program.neededUntilUnixMillis, reservation.expiresUnixMillis);
+    program.positions.push_back(this->lastPosition + 1);
     this->appendToArrivalOrder({ false, reservation.program, reservation.requestId });
     return true;
 }
 
-void RecordTable::extendAncestorExpiry(const StoredTurn& turn)
-{
-    std::string id = turn.previous;
-    for (std::size_t depth = 0; !id.empty() && depth < maxChainTurns; ++depth) {
-        auto found = this->turns.find(id);
-        if (found == this->turns.end() || found->second.turn.expiresUnixMillis >= turn.expiresUnixMillis)
-            return;
-        found->second.turn.expiresUnixMillis = turn.expiresUnixMillis;
-        id = found->second.turn.previous;
-    }
-}
-
 void RecordTable::appendToArrivalOrder(Key key)
 {
     this->arrivalOrder.emplace(++this->lastPosition, std::move(key));
@@ -82,7 +73,7 @@
 {
     static const ProgramReservations none;
     auto found = this->programs.find(program);
-    return found == this->programs.end() ? none : found->second;
+    return found == this->programs.end() ? none : found->second.reservations;
 }
 
 std::vector<StoredTurn> RecordTable::chain(std::string_view id, bool& reachedStart) const
@@ -136,27 +127,98 @@
     return records;
 }
 
-void RecordTable::expire(std::int64_t nowUnixMillis)
+// --- Expiry
+
+// Visits each turn once, however long the conversations are.
+RecordTable::NeededTurns RecordTable::neededTurns(std::int64_t nowUnixMillis) const
 {
-    for (auto it = this->turns.begin(); it != this->turns.end();) {
-        if (it->second.turn.expiresUnixMillis > nowUnixMillis) {
-            ++it;
+    NeededTurns needed;
+    for (const auto& [id, entry] : this->turns) {
+        if (entry.neededUntilUnixMillis <= nowUnixMillis)
             continue;
+        const TurnEntry* turn = &entry;
+        while (needed.ids.insert(turn->turn.id).second && !turn->turn.previous.empty()) {
+            auto previous = this->turns.find(turn->turn.previous);
+            if (previous == this->turns.end()) {
+                needed.ids.insert(turn->turn.previous);
+                needed.groupsWithGaps.insert(turn->turn.group);
+                break;
+            }
+            turn = &previous->second;
         }
-        this->heldBytes -= sizeOf(it->second.turn);
-        this->arrivalOrder.erase(it->second.position);
-        it = this->turns.erase(it);
     }
-    // A program's reservations are removed together, once all of them have expired. Removing only some of them would
-    // make used tokens appear free.
-    std::erase_if(this->programs, [nowUnixMillis](const auto& program) {
-        return std::all_of(program.second.begin(), program.second.end(),
-            [nowUnixMillis](const auto& entry) { return entry.second.expiresUnixMillis <= nowUnixMillis; });
-    });
-    std::erase_if(this->arrivalOrder, [this](const auto& entry) {
-        const Key& key = entry.second;
-        return !key.isTurn && this->reservationsOf(key.first).count(key.second) == 0;
-    });
+    return needed;
+}
+
+ExpiredRecords RecordTable::expired(std::int64_t nowUnixMillis, std::size_t maxRecords) const
+{
+    ExpiredRecords records;
+    for (const auto& [program, entry] : this->programs) {
+        if (entry.neededUntilUnixMillis <= nowUnixMillis && records.programs.size() < maxRecords)
+            records.programs.push_back(program);
+    }
+    bool anyTurn = std::any_of(this->turns.begin(), this->turns.end(),
+        [&](const auto& entry) { return entry.second.neededUntilUnixMillis <= nowUnixMillis; });
+    if (!anyTurn)
+        return records;
+    NeededTurns needed = this->neededTurns(nowUnixMillis);
+    for (const auto& [id, entry] : this->turns) {
+        bool isNeeded = needed.ids.count(id) > 0 || needed.groupsWithGaps.count(entry.turn.group) > 0;
+        if (!isNeeded && records.turns.size() < maxRecords)
+            records.turns.push_back({ id, entry.turn.group });
+    }
+    return records;
+}
+
+void RecordTable::confirmExpiry(const ExpiredRecords& records, std::int64_t nowUnixMillis,
+    const std::function<bool(std::string_view)>& mayConfirm, RecordResponse& response) const
+{
+    NeededTurns needed;
+    if (!records.turns.empty())
+        needed = this->neededTurns(nowUnixMillis);
+    for (const ExpiringTurn& turn : records.turns) {
+        bool isNeeded = needed.ids.count(turn.id) > 0 || needed.groupsWithGaps.count(turn.group) > 0;
+        response.turnsConfirmed.push_back(!isNeeded && mayConfirm(turn.group));
+    }
+    for (const std::string& program : records.programs) {
+        auto found = this->programs.find(program);
+        bool isNeeded = found != this->programs.end() && found->second.neededUntilUnixMillis > nowUnixMillis;
+        response.programsConfirmed.push_back(!isNeeded && mayConfirm(program));
+    }
+}
+
+void RecordTable::extendTurn(const std::string& id, std::int64_t untilUnixMillis)
+{
+    auto found = this->turns.find(id);
+    if (found != this->turns.end())
+        found->second.neededUntilUnixMillis = std::max(found->second.neededUntilUnixMillis, untilUnixMillis);
+}
+
+void RecordTable::extendProgram(const std::string& program, std::int64_t untilUnixMillis)
+{
+    auto found = this->programs.find(program);
+    if (found != this->programs.end())
+        found->second.neededUntilUnixMillis = std::max(found->second.neededUntilUnixMillis, untilUnixMillis);
+}
+
+void RecordTable::removeTurn(const std::string& id)
+{
+    auto found = this->turns.find(id);
+    if (found == this->turns.end())
+        return;
+    this->heldBytes -= sizeOf(found->second.turn);
+    this->arrivalOrder.erase(found->second.position);
+    this->turns.erase(found);
+}
+
+void RecordTable::removeProgram(const std::string& program)
+{
+    auto found = this->programs.find(program);
+    if (found == this->programs.end())
+        return;
+    for (std::uint64_t position : found->second.positions)
+        this->arrivalOrder.erase(position);
+    this->programs.erase(found);
 }
 
 } // namespace lovagecross
--- a/lovagecross/records/RecordTable.h
+++ b/lovagecross/records/RecordTable.h
@@ -7,8 +7,11 @@
 //     std::uint64_t used = usedTokens(table.reservationsOf("program"), "request"); // by the program's other turns
 //
 // Records never conflict: a turn is immutable, and of two reservations for the same request the settled one gives the
-// tokens and the one with the higher revision gives the origin of the stream. The turns that a turn continues are kept
-// at least as long as the turn itself.
+// tokens and the one with the higher revision gives the origin of the stream.
+//
+// A turn is needed until it expires and while a turn that continues it, directly or not, is needed. The reservations of
+// a program are needed until the last of them expires. The table removes nothing by itself: other replicas may hold a
+// later record that this one has missed, so the owner asks them about `expired` records first.
 //
 // Thread safety: not synchronized; the owner must hold a lock.
 
@@ -18,9 +21,11 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace lovagecross {
@@ -55,7 +60,20 @@
     std::vector<StoredRecord> recordsAfter(std::uint64_t after, std::size_t maxBytes,
         const std::function<bool(std::string_view)>& wantsGroup, std::uint64_t& next, bool& last) const;
 
-    void expire(std::int64_t nowUnixMillis);
+    // Returns records that are no longer needed by what this table holds, at most about `maxRecords`.
+    ExpiredRecords expired(std::int64_t nowUnixMillis, std::size_t maxRecords) const;
+
+    // Sets `turnsConfirmed` and `programsConfirmed` of the response: whether this table needs the records no more.
+    // `mayConfirm` tells whether this node can answer for a group.
+    void confirmExpiry(const ExpiredRecords& records, std::int64_t nowUnixMillis,
+        const std::function<bool(std::string_view)>& mayConfirm, RecordResponse& response) const;
+
+    // Treats expired records as needed until the given time. Does not shorten an earlier extension.
+    void extendTurn(const std::string& id, std::int64_t untilUnixMillis);
+    void extendProgram(const std::string& program, std::int64_t untilUnixMillis);
+
+    void removeTurn(const std::string& id);
+    void removeProgram(const std::string& program);
 
     std::size_t turnCount() const { return this->turns.size(); }
     std::size_t programCount() const { return this->programs.size(); }
@@ -65,6 +83,17 @@
     struct TurnEntry {
         StoredTurn turn;
         std::uint64_t position = 0;
+        std::int64_t neededUntilUnixMillis = 0;
+    };
+    struct ProgramEntry {
+        ProgramReservations reservations;
+        std::int64_t neededUntilUnixMillis = 0;
+        std::vector<std::uint64_t> positions; // in `arrivalOrder`
+    };
+    // Turns that must be kept, as far as this table can tell.
+    struct NeededTurns {
+        std::unordered_set<std::string_view> ids; // including continued turns that this table has missed
+        std::set<std::string_view> groupsWithGaps; // with a missed turn: it may continue any turn of its group
     };
     struct Key {
         bool isTurn = false;
@@ -73,10 +102,10 @@
     };
 
     void appendToArrivalOrder(Key key);
-    void extendAncestorExpiry(const StoredTurn& turn);
+    NeededTurns neededTurns(std::int64_t nowUnixMillis) const;
 
     std::unordered_map<std::string, TurnEntry> turns; // keyed by turn id
-    std::map<std::string, ProgramReservations, std::less<>> programs;
+    std::map<std::string, ProgramEntry, std::less<>> programs;
     std::map<std::uint64_t, Key> arrivalOrder; // keyed by position in order of arrival
     std::uint64_t lastPosition = 0;
     std::size_t heldBytes = 0;
--- a/lovagecross/records/RecordTableTest.cpp
+++ b/lovagecross/records/RecordTableTest.cpp
@@ -1,5 +1,6 @@
 #include "lovagecross/records/RecordTable.h"
 
+#include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace lovagecross {
@@ -26,6 +27,9 @@
     CPPUNIT_TEST(laterOriginReplacesAnEarlierOne);
     CPPUNIT_TEST(continuedTurnsOutliveTheirOwnTime);
     CPPUNIT_TEST(programsExpireWhole);
+    CPPUNIT_TEST(turnThatAMissedTurnMayContinueIsNeeded);
+    CPPUNIT_TEST(extensionKeepsWhatIsContinued);
+    CPPUNIT_TEST(expiryOfALongConversationVisitsEachTurnOnce);
     CPPUNIT_TEST(recordsComeInPagesInTheOrderOfArrival);
     CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +85,17 @@
         CPPUNIT_ASSERT(!table.add(reservation("r3", 100)));
     }
 
+    // Removes everything that the table no longer needs, as with the consent of all replicas.
+    static void removeExpired(RecordTable& table, std::int64_t now)
+    {
+        constexpr std::size_t noLimit = 1'000'000;
+        ExpiredRecords expired = table.expired(now, noLimit);
+        for (const ExpiringTurn& turn : expired.turns)
+            table.removeTurn(turn.id);
+        for (const std::string& program : expired.programs)
+            table.removeProgram(program);
+    }
+
     // All turns of a conversation are kept for the retention period of its newest turn.
     void continuedTurnsOutliveTheirOwnTime()
     {
@@ -88,12 +103,12 @@
         table.add(turn("a", "", 1000));
         table.add(turn("b", "a", 2000));
         table.add(turn("other", "", 1000));
-        table.expire(1500);
+        removeExpired(table, 1500);
         bool start = false;
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.chain("b", start).size());
         CPPUNIT_ASSERT(start);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.turnCount());
-        table.expire(2500);
+        removeExpired(table, 2500);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.turnCount());
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.bytes());
     }
@@ -104,12 +119,56 @@
         RecordTable table;
         table.add(reservation("r1", 100, true, 1000));
         table.add(reservation("r2", 50, true, 2000));
-        table.expire(1500);
+        removeExpired(table, 1500);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(150), usedTokens(table.reservationsOf("p"), ""));
-        table.expire(2500);
+        removeExpired(table, 2500);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.programCount());
     }
 
+    // Guards against the removal of turns before a turn that this table has missed.
+    void turnThatAMissedTurnMayContinueIsNeeded()
+    {
+        RecordTable table;
+        table.add(turn("a", "", 1000));
+        table.add(turn("c", "missed", 2000));
+        StoredTurn other = turn("other", "", 1000);
+        other.group = "other group";
+        table.add(other);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.expired(1500, 10).turns.size());
+        RecordResponse response;
+        auto all = [](std::string_view) { return true; };
+        table.confirmExpiry(
+            { { { "missed", "p" }, { "a", "p" }, { "other", "other group" } }, {} }, 1500, all, response);
+        CPPUNIT_ASSERT(response.turnsConfirmed == std::vector<bool>({ false, false, true }));
+        removeExpired(table, 2500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.turnCount());
+    }
+
+    // Guards against an extended turn whose own first turns are removed.
+    void extensionKeepsWhatIsContinued()
+    {
+        RecordTable table;
+        table.add(turn("a", "", 1000));
+        table.add(turn("b", "a", 1000));
+        table.extendTurn("b", 3000);
+        removeExpired(table, 2500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), table.turnCount());
+        removeExpired(table, 3500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), table.turnCount());
+    }
+
+    // Guards against work that grows with the square of a conversation's length.
+    void expiryOfALongConversationVisitsEachTurnOnce()
+    {
+        constexpr int turns = 200'000;
+        RecordTable table;
+        for (int i = 0; i < turns; ++i)
+            table.add(turn("t" + std::to_string(i), i == 0 ? "" : "t" + std::to_string(i - 1), 1000 + i));
+        auto start = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT(table.expired(1000 + turns / 2, 10).turns.empty());
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < std::chrono::seconds(20));
+    }
+
     void recordsComeInPagesInTheOrderOfArrival()
     {
         RecordTable table;
--- a/lovagecross/records/TurnCache.h
+++ b/lovagecross/records/TurnCache.h
@@ -21,6 +21,7 @@
     std::string id;
     std::string previous;
     std::string text; // the input followed by the output
+    std::string group {}; // where the conversation is stored
 };
 
 class TurnCache {
