A conversation of more than 4,096 turns is passed on whole, or refused

Callers saw answers to a conversation that lacked its first turns: the entry node stopped after 4,096 turns and passed the rest on as if it were the whole conversation. It now reads on until the start, and refuses a conversation of over 16 MiB with 413 before a server is asked.

With the limit back, longConversationIsReadWhole fails: 4,096 of 4,200 turns, taken for whole.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -120,6 +120,8 @@
         return std::nullopt;
     case ConversationStatus::Absent:
         return this->refuse(404, "the previous turn does not exist");
+    case ConversationStatus::TooLong:
+        return this->refuse(413, "the conversation is too long");
     case ConversationStatus::Unavailable:
         break;
     }
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -93,6 +93,8 @@
         std::lock_guard lock(this->mutex);
         if (!this->available)
             return { ConversationStatus::Unavailable, {}, 0, milliseconds(70) };
+        if (this->tooLong)
+            return { ConversationStatus::TooLong, {}, 0, Duration(0) };
         auto found = this->kept.find(id);
         if (found == this->kept.end())
             return { ConversationStatus::Absent, {}, 0, Duration(0) };
@@ -143,6 +145,7 @@
 
     std::mutex mutex;
     bool available = true;
+    bool tooLong = false;
     std::map<std::string, TurnRecord> kept;
     std::uint64_t used = 0;
     std::set<std::string> reserved; // request ids
--- a/lovagecross/gateway/GatewayStreamTest.cpp
+++ b/lovagecross/gateway/GatewayStreamTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(streamWithMissingEventIsAborted);
     CPPUNIT_TEST(turnIncludesPrecedingConversation);
     CPPUNIT_TEST(turnsOfAnotherProgramAreStoredWithTheFirst);
+    CPPUNIT_TEST(tooLongConversationIsRefused);
     CPPUNIT_TEST(unstoredTurnIsNotCompleted);
     CPPUNIT_TEST(exhaustedBudgetIsRejectedWithoutRunning);
     CPPUNIT_TEST_SUITE_END();
@@ -107,6 +108,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("beginner"), this->turns->kept["t3"].group);
     }
 
+    // Guards against a conversation that reaches a server in part because it is too long.
+    void tooLongConversationIsRefused()
+    {
+        std::atomic<int> requests { 0 };
+        this->addServer([&](const ScriptedRequest& request, ScriptedConnection& connection) {
+            ++requests;
+            return connection.write(streamHead(request) + printChunk(event(1)) + "0\r\n\r\n");
+        });
+        this->turns->tooLong = true;
+        std::string response = this->sendRequest(post("/turn/", "t2", "second|", "Previous: t1\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, "HTTP/1.1 413"));
+        CPPUNIT_ASSERT_EQUAL(0, requests.load());
+    }
+
     // The end of a response tells the caller that the turn was stored.
     void unstoredTurnIsNotCompleted()
     {
--- a/lovagecross/gateway/Turns.h
+++ b/lovagecross/gateway/Turns.h
@@ -28,6 +28,7 @@
     Found,
     Absent, // every replica that could hold the turn confirmed that it does not
     Unavailable, // a replica that could hold the turn can't be reached
+    TooLong, // the conversation exists, but is too long to be passed to a server
 };
 
 struct Conversation {
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -32,7 +32,10 @@
 constexpr Duration replicaReadTimeout = milliseconds(120); // before other members are asked too
 constexpr Duration readTimeout = milliseconds(500);
 constexpr Duration retryInterval = milliseconds(20);
-constexpr std::size_t maxChainTurns = 4096;
+// Limit for the text of a conversation, with an overhead for each turn. An entry node holds it twice while it passes
+// the request on.
+constexpr std::size_t maxConversationBytes = 16 * 1024 * 1024;
+constexpr std::size_t turnOverheadBytes = 64;
 constexpr int maxRosterChangesPerRead = 3; // then the caller is asked to retry
 
 // Margin added to the expiry of a record, since clocks differ and a turn must not expire while it is being continued.
@@ -508,7 +511,8 @@
     std::vector<std::string> texts; // newest first
     std::map<std::string, StoredTurn> fetched;
     std::string next = id;
-    while (!next.empty() && texts.size() < maxChainTurns) {
+    std::size_t bytes = 0;
+    while (!next.empty()) {
         auto turn = this->cache.find(next);
         if (auto found = fetched.find(next); !turn && found != fetched.end()) {
             const StoredTurn& stored = found->second;
@@ -516,6 +520,11 @@
             this->cache.add(*turn);
         }
         if (turn) {
+            bytes += turn->text.size() + turnOverheadBytes;
+            if (bytes > maxConversationBytes) {
+                result.status = ConversationStatus::TooLong;
+                return result;
+            }
             if (next == id)
                 result.group = turn->group;
             texts.push_back(std::move(turn->text));
--- a/lovagecross/records/RecordExpiryTest.cpp
+++ b/lovagecross/records/RecordExpiryTest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(nothingExpiresWithoutAMajority);
     CPPUNIT_TEST(reservationsExpireOnAllReplicasOrNone);
     CPPUNIT_TEST(everythingGoesAfterTheLastTurn);
+    CPPUNIT_TEST(longConversationIsReadWhole);
+    CPPUNIT_TEST(conversationOverTheLimitIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
     void useNewClient()
@@ -234,6 +236,38 @@
         }));
         CPPUNIT_ASSERT(this->read("t6", "program6").status == ConversationStatus::Absent);
     }
+
+    void storeOnFirstNode(int turns, const std::string& output)
+    {
+        std::uint64_t epoch = this->nodes[0]->node->roster().epoch;
+        std::int64_t expires = this->clock->unixMillis() + 1'000'000;
+        for (int i = 1; i <= turns; ++i) {
+            std::string previous = i == 1 ? "" : "t" + std::to_string(i - 1);
+            StoredTurn turn { "t" + std::to_string(i), previous, "i;", output, "program", expires };
+            CPPUNIT_ASSERT(this->nodes[0]->node->handle(StoreTurnRequest { epoch, turn }).status == RecordStatus::Ok);
+        }
+    }
+
+    // Guards against a long conversation that reaches a server without its first turns.
+    void longConversationIsReadWhole()
+    {
+        constexpr int turns = 4200; // more than one response holds
+        this->storeOnFirstNode(turns, "o;");
+        Conversation conversation = this->read("t" + std::to_string(turns), "program");
+        CPPUNIT_ASSERT(conversation.status == ConversationStatus::Found);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(turns), conversation.turns);
+    }
+
+    // Guards against a conversation that exceeds the memory of an entry node, and against a part of it that is taken
+    // for the whole.
+    void conversationOverTheLimitIsRefused()
+    {
+        constexpr int turns = 17; // of 1 MiB each
+        this->storeOnFirstNode(turns, std::string(1024 * 1024, 'x'));
+        Conversation conversation = this->read("t" + std::to_string(turns), "program");
+        CPPUNIT_ASSERT(conversation.status == ConversationStatus::TooLong);
+        CPPUNIT_ASSERT(conversation.text.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordExpiryTest);
