A record node logs which fills it has completed, and goes on with an interrupted one

Cause: a node logged a new roster before it had fetched what it has to hold under it, and nothing on its disk said that the fill was unfinished. After a restart it took every member of the last logged roster with its own disk for complete. The evidence, from the code's own log lines: `records_loaded` with `ready` true right after the kill, and no `records_fetched` between `roster_adopted` and it. The same cause on related paths: - A fetch whose records the disk refused counted as fetched. - A source counted by its name, also after it had lost its disk; one that had skipped an epoch counted as complete for all earlier ones. - When two changes followed each other, the sources of the first one were dropped. - `load` took the last logged roster, not the newest; two adoptions could be logged in the other order, and a compaction between the log entry and the adoption dropped the entry. - With more than one node gone from a small roster, members that each lacked records could be a majority.

Change: `ReplicaProgress` (the roster and the epochs whose fills are complete) is logged before a roster is used and before a fill counts as complete, under a lock that compactions take too. A roster carries its latest changes, so that a node knows all rosters since its last fill (`formerRosters`). Sources name the epochs at which they were complete and their disk. Fetched records that the log refused are written before anything else is fetched. `records_fetched` logs whether the fill is complete, `records_loaded` the newest complete epoch.

--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -54,7 +54,7 @@
     return handle(
         [&]() -> Result<std::optional<Roster>> {
             BOOST_LEAF_AUTO(roster, parseRoster(stored.object.value));
-            return std::optional<Roster>(std::move(roster));
+            return std::optional<Roster>(withoutChanges(roster));
         },
         [](const Error& error) {
             LogLine(LogLevel::Error, "roster_unreadable").field("field", error.field).write();
--- a/lovagecross/records/RecordLog.cpp
+++ b/lovagecross/records/RecordLog.cpp
@@ -214,9 +214,11 @@
     return true;
 }
 
-bool RecordLog::appendDurably(std::string_view entry)
+bool RecordLog::appendAllDurably(const std::vector<std::string>& entries)
 {
-    std::string bytes = encodeFrame(entry);
+    std::string bytes;
+    for (const std::string& entry : entries)
+        bytes += encodeFrame(entry);
     std::unique_lock lock(this->mutex);
     if (this->stopping)
         return false;
@@ -297,6 +299,7 @@
         return;
     }
     this->segmentBytes = bytes.size();
+    syncFolder(this->folder); // the new segment must not vanish after the old ones are removed
     for (std::uint64_t number : old)
         ::unlink(this->segmentPath(number).c_str());
     syncFolder(this->folder);
--- a/lovagecross/records/RecordLog.h
+++ b/lovagecross/records/RecordLog.h
@@ -48,7 +48,10 @@
     LogRecovery open();
 
     // Appends an entry and waits until it is durable. Returns false if the write failed, for example on a full disk.
-    bool appendDurably(std::string_view entry);
+    bool appendDurably(std::string_view entry) { return this->appendAllDurably({ std::string(entry) }); }
+
+    // Appends several entries with the same sync. Returns false if any of them may be missing from the disk.
+    bool appendAllDurably(const std::vector<std::string>& entries);
 
     // Appends an entry with the next sync, without waiting for it.
     void appendAsync(std::string_view entry);
--- a/lovagecross/records/RecordMessages.cpp
+++ b/lovagecross/records/RecordMessages.cpp
@@ -40,11 +40,11 @@
         { in.stream_version(), in.stream_revision() } };
 }
 
-void write(const Roster& roster, proto::RecordRoster* out)
+void writeMembers(
+    const std::vector<RosterMember>& members, google::protobuf::RepeatedPtrField<proto::RecordMember>& out)
 {
-    out->set_epoch(roster.epoch);
-    for (const RosterMember& member : roster.members) {
-        proto::RecordMember* entry = out->add_members();
+    for (const RosterMember& member : members) {
+        proto::RecordMember* entry = out.Add();
         entry->set_node(member.node);
         entry->set_disk(member.disk);
         entry->set_address(member.address);
@@ -52,12 +52,33 @@
     }
 }
 
+std::vector<RosterMember> readMembers(const google::protobuf::RepeatedPtrField<proto::RecordMember>& in)
+{
+    std::vector<RosterMember> members;
+    for (const proto::RecordMember& member : in)
+        members.push_back({ member.node(), member.disk(), member.address(), member.data_centre() });
+    return members;
+}
+
+void write(const Roster& roster, proto::RecordRoster* out)
+{
+    out->set_epoch(roster.epoch);
+    writeMembers(roster.members, *out->mutable_members());
+    for (const RosterChange& change : roster.changes) {
+        proto::RosterChange* entry = out->add_changes();
+        entry->set_epoch(change.epoch);
+        for (const std::string& node : change.added)
+            entry->add_added(node);
+        writeMembers(change.removed, *entry->mutable_removed());
+    }
+}
+
 Roster read(const proto::RecordRoster& in)
 {
-    Roster roster;
-    roster.epoch = in.epoch();
-    for (const proto::RecordMember& member : in.members())
-        roster.members.push_back({ member.node(), member.disk(), member.address(), member.data_centre() });
+    Roster roster { in.epoch(), readMembers(in.members()), {} };
+    for (const proto::RosterChange& change : in.changes())
+        roster.changes.push_back(
+            { change.epoch(), { change.added().begin(), change.added().end() }, readMembers(change.removed()) });
     return roster;
 }
 
@@ -185,6 +206,9 @@
     out.set_last(response.last);
     out.set_session(response.session);
     out.set_filled_epoch(response.filledEpoch);
+    for (std::uint64_t epoch : response.filledEpochs)
+        out.add_filled_epochs(epoch);
+    out.set_disk(response.disk);
     for (bool confirmed : response.turnsConfirmed)
         out.add_turns_confirmed(confirmed);
     for (bool confirmed : response.programsConfirmed)
@@ -211,6 +235,8 @@
     response.last = in.last();
     response.session = in.session();
     response.filledEpoch = in.filled_epoch();
+    response.filledEpochs.assign(in.filled_epochs().begin(), in.filled_epochs().end());
+    response.disk = in.disk();
     response.turnsConfirmed.assign(in.turns_confirmed().begin(), in.turns_confirmed().end());
     response.programsConfirmed.assign(in.programs_confirmed().begin(), in.programs_confirmed().end());
     return response;
@@ -231,8 +257,12 @@
         write(*turn, out.mutable_turn());
     else if (const auto* reservation = std::get_if<Reservation>(&entry))
         write(*reservation, out.mutable_reservation());
-    else
-        write(std::get<Roster>(entry), out.mutable_roster());
+    else {
+        const auto& progress = std::get<ReplicaProgress>(entry);
+        write(progress.roster, out.mutable_progress()->mutable_roster());
+        for (std::uint64_t epoch : progress.filledEpochs)
+            out.mutable_progress()->add_filled_epochs(epoch);
+    }
     return out.SerializeAsString();
 }
 
@@ -245,8 +275,12 @@
         return read(in.turn());
     if (in.has_reservation())
         return read(in.reservation());
-    if (in.has_roster())
-        return read(in.roster());
+    if (in.has_progress()) {
+        const auto& epochs = in.progress().filled_epochs();
+        return ReplicaProgress { read(in.progress().roster()), { epochs.begin(), epochs.end() } };
+    }
+    if (in.has_roster()) // an earlier version did not log fills
+        return ReplicaProgress { read(in.roster()), { in.roster().epoch() } };
     return std::nullopt;
 }
 
--- a/lovagecross/records/RecordMessages.h
+++ b/lovagecross/records/RecordMessages.h
@@ -41,8 +41,9 @@
 
 using StoredRecord = std::variant<StoredTurn, Reservation>;
 
-// A node also logs each roster that it adopts, so that it doesn't return to an older one after a restart.
-using LoggedEntry = std::variant<StoredTurn, Reservation, Roster>;
+// A node also logs each roster that it adopts, so that it doesn't return to an older one after a restart, and each fill
+// that it completes, so that it goes on with one that was interrupted.
+using LoggedEntry = std::variant<StoredTurn, Reservation, ReplicaProgress>;
 
 struct StoreTurnRequest {
     std::uint64_t epoch = 0;
@@ -129,6 +130,8 @@
     std::uint64_t session = 0; // Fill: positions are valid only within one session of the sender
     // Inspect, Fill, Reserve: the newest epoch for which the sender has fetched all records that other members held.
     std::uint64_t filledEpoch = 0;
+    std::vector<std::uint64_t> filledEpochs; // Fill: all epochs for which it has, ascending
+    std::uint64_t disk = 0; // Fill: identity of the sender's disk
     // ConfirmExpiry: for each turn and program of the request, whether the sender needs it no more either.
     std::vector<bool> turnsConfirmed;
     std::vector<bool> programsConfirmed;
--- a/lovagecross/records/RecordNode.cpp
+++ b/lovagecross/records/RecordNode.cpp
@@ -47,7 +47,7 @@
     this->disk = recovery.disk;
     this->newDisk = recovery.wasEmpty;
     std::size_t count = 0;
-    Roster known;
+    ReplicaProgress known;
     {
         std::lock_guard lock(this->mutex);
         for (const std::string& bytes : recovery.entries) {
@@ -55,9 +55,10 @@
             if (!entry)
                 continue;
             ++count;
-            if (auto* roster = std::get_if<Roster>(&*entry))
-                known = std::move(*roster);
-            else if (auto* turn = std::get_if<StoredTurn>(&*entry))
+            if (auto* progress = std::get_if<ReplicaProgress>(&*entry)) {
+                if (progress->roster.epoch >= known.roster.epoch)
+                    known = std::move(*progress);
+            } else if (auto* turn = std::get_if<StoredTurn>(&*entry))
                 this->table.add(std::move(*turn));
             else
                 this->table.add(std::get<Reservation>(std::move(*entry)));
@@ -69,6 +70,7 @@
         .field("droppedBytes", recovery.droppedBytes)
         .field("newDisk", recovery.wasEmpty)
         .field("epoch", this->roster().epoch)
+        .field("filledEpoch", this->handleInspect().filledEpoch)
         .field("ready", this->ready())
         .write();
     return {};
@@ -124,7 +126,7 @@
         return true;
     this->newerEpochSeen = this->newerEpochSeen || epoch > roster.epoch;
     response.status = epoch < roster.epoch ? RecordStatus::OldEpoch : RecordStatus::NotReady;
-    response.roster = roster;
+    response.roster = withoutChanges(roster);
     return false;
 }
 
@@ -155,7 +157,7 @@
     response.turns = this->table.chain(request.id, response.reachedStart);
     response.status = response.turns.empty() ? RecordStatus::Absent : RecordStatus::Ok;
     response.complete = this->holdings.complete();
-    response.roster = this->holdings.roster();
+    response.roster = withoutChanges(this->holdings.roster());
     return response;
 }
 
@@ -209,7 +211,7 @@
     RecordResponse response;
     bool adopted = this->adopt(request.roster, false);
     std::lock_guard lock(this->mutex);
-    response.roster = this->holdings.roster();
+    response.roster = withoutChanges(this->holdings.roster());
     response.status
         = adopted || response.roster->epoch >= request.roster.epoch ? RecordStatus::Ok : RecordStatus::NotStored;
     return response;
@@ -230,7 +232,8 @@
     }
     response.status = RecordStatus::Ok;
     response.session = this->session;
-    response.filledEpoch = this->holdings.filledEpoch();
+    response.filledEpochs = this->holdings.filledEpochs();
+    response.disk = this->disk;
     return response;
 }
 
@@ -242,7 +245,7 @@
     response.complete = this->holdings.complete();
     response.filledEpoch = this->holdings.filledEpoch();
     if (this->holdings.roster().epoch > 0)
-        response.roster = this->holdings.roster();
+        response.roster = withoutChanges(this->holdings.roster());
     return response;
 }
 
@@ -277,20 +280,24 @@
     return this->isRetired;
 }
 
-// Adopts a newer roster. `nothingToFetch` is set if this node has just added itself to it and has nothing to fetch.
+// Adopts a newer roster. `nothingToFetch` is set if this node has just created the first one. The roster is logged
+// before it is used, so that no write for an older epoch is accepted after a restart.
 bool RecordNode::adopt(const Roster& next, bool nothingToFetch)
 {
-    // Log the roster durably before it is used, so that no write for an older epoch is accepted after a restart.
-    if (next.epoch <= this->roster().epoch)
-        return false;
-    if (!this->log.appendDurably(encodeLoggedEntry(next)))
-        return false;
     bool member = false;
     bool nowComplete = false;
     {
-        std::lock_guard lock(this->mutex);
-        if (next.epoch <= this->holdings.roster().epoch)
+        std::lock_guard progressLock(this->progressMutex);
+        ReplicaProgress progress;
+        {
+            std::lock_guard lock(this->mutex);
+            if (next.epoch <= this->holdings.roster().epoch)
+                return false;
+            progress = this->holdings.progressAfter(next, nothingToFetch);
+        }
+        if (!this->log.appendDurably(encodeLoggedEntry(progress)))
             return false;
+        std::lock_guard lock(this->mutex);
         this->holdings.adopt(next, nothingToFetch);
         member = this->holdings.isMember();
         nowComplete = this->holdings.complete();
@@ -304,4 +311,23 @@
     return true;
 }
 
+// Records durably that the fill of the roster is complete. Returns false if the roster has changed since, or if the
+// disk refuses the entry.
+bool RecordNode::completeFill(const Roster& roster)
+{
+    std::lock_guard progressLock(this->progressMutex);
+    ReplicaProgress progress;
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->holdings.roster().epoch != roster.epoch)
+            return false;
+        progress = this->holdings.progressWhenComplete();
+    }
+    if (!this->log.appendDurably(encodeLoggedEntry(progress)))
+        return false;
+    std::lock_guard lock(this->mutex);
+    this->holdings.markComplete();
+    return true;
+}
+
 } // namespace lovagecross
--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -83,6 +83,9 @@
     void start();
     void stop();
 
+    // Runs the maintenance that is due. The maintenance thread calls it; a test may call it instead of `start`.
+    void maintain();
+
     RecordResponse handle(const RecordRequest& request);
 
     // Starts leaving the roster. `retired` returns true once enough other members hold the records of this node.
@@ -115,11 +118,11 @@
     };
 
     void run();
-    void maintain();
     bool refreshIsDue(TimePoint now) const;
     MaintenanceState maintenanceState() const;
     StoreStatus refreshRoster();
     bool adopt(const Roster& next, bool nothingToFetch);
+    bool completeFill(const Roster& roster);
     void join();
     Duration randomJoinDelay();
     bool writeRoster(const Roster& next, std::uint64_t version);
@@ -127,9 +130,10 @@
     void fill();
     void finishFill(const Roster& roster, const FillPlan& plan, std::size_t fetched, bool allMembersFetched);
     bool remainingSourcesLost(bool enough, bool allMembersFetched);
-    std::optional<std::uint64_t> fetchFrom(const RosterMember& source, const FillFilter& filter);
+    std::optional<std::vector<std::uint64_t>> fetchFrom(const RosterMember& source, const FillFilter& filter);
     bool fetchFromPlatform();
-    void mergeFetched(const RecordResponse& page, const FillFilter& filter);
+    bool mergeFetched(const RecordResponse& page, const FillFilter& filter);
+    bool logFetched();
     void runSharedTasks(TimePoint now, bool filled);
     void announce(const Roster& roster);
     void removeFailedMember(const Roster& roster);
@@ -150,6 +154,9 @@
     bool newDisk = false; // the disk was empty at start; used by the maintenance thread only
     const std::uint64_t session;
 
+    // Held from before a change of the progress is logged until `holdings` has it, and while the log is compacted: a
+    // compaction in between would drop the entry. Acquired before `mutex`.
+    std::mutex progressMutex;
     mutable std::mutex mutex; // guards the members up to `isRetired`
     RecordTable table;
     ReplicaState holdings;
@@ -178,6 +185,7 @@
     MemberFailureDetector memberWatch;
     PlatformRecords platform;
     std::optional<TimePoint> sourcesMissingSince;
+    std::vector<std::string> unloggedEntries; // fetched records that could not be written to the log yet
     std::vector<std::string> drainedTurnIds; // turns that are on enough disks but not yet removed from the platform
 
     std::mutex wakeMutex;
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -28,6 +28,7 @@
 constexpr Duration fillRetryInterval = std::chrono::seconds(1);
 constexpr Duration storeTimeout = milliseconds(500);
 constexpr Duration lostSourcesTimeout = std::chrono::seconds(3); // in addition to the removal timeout
+constexpr Duration unfilledSourcesTimeout = std::chrono::seconds(30);
 constexpr Duration stopPollInterval = milliseconds(20);
 
 } // namespace
@@ -63,7 +64,7 @@
         this->leave();
     else if (!member && !this->retired() && now >= this->nextJoin)
         this->join();
-    else if (!filled)
+    else if (member && !filled)
         this->fill();
     if (now >= this->nextExpiry) {
         this->nextExpiry = now + expiryInterval;
@@ -289,10 +290,12 @@
 {
     Roster roster;
     FillPlan plan;
+    bool enough = false;
     {
         std::lock_guard lock(this->mutex);
         roster = this->holdings.roster();
         plan = this->holdings.plan();
+        enough = this->holdings.enoughFetched();
     }
     TimePoint now = this->parts.clock.now();
     if (this->fillEpoch == roster.epoch && now < this->nextFill)
@@ -302,20 +305,23 @@
     std::size_t fetched = 0;
     bool allMembersFetched = true;
     for (const RosterMember& source : plan.sources) {
+        if (enough)
+            break;
         auto adopted = this->sendRequest(source.address, AdoptRequest { roster }, inspectTimeout);
         bool ready = adopted && adopted->status == RecordStatus::Ok;
-        auto sourceFilledEpoch = ready ? this->fetchFrom(source, plan.filter) : std::nullopt;
-        if (!sourceFilledEpoch) {
-            allMembersFetched = allMembersFetched && roster.find(source.node) == nullptr;
+        auto filledEpochs = ready ? this->fetchFrom(source, plan.filter) : std::nullopt;
+        if (!filledEpochs) {
+            allMembersFetched = allMembersFetched && !roster.hasDisk(source.node, source.disk);
             continue;
         }
         ++fetched;
         std::lock_guard lock(this->mutex);
         if (this->holdings.roster().epoch != roster.epoch)
             return;
-        this->holdings.markFetched(source.node, *sourceFilledEpoch);
+        this->holdings.markFetched(source, *filledEpochs);
+        enough = this->holdings.enoughFetched();
     }
-    if (plan.fromPlatform && this->fetchFromPlatform()) {
+    if (!enough && plan.fromPlatform && this->fetchFromPlatform()) {
         std::lock_guard lock(this->mutex);
         if (this->holdings.roster().epoch != roster.epoch)
             return;
@@ -327,24 +333,30 @@
 void RecordNode::finishFill(const Roster& roster, const FillPlan& plan, std::size_t fetched, bool allMembersFetched)
 {
     bool enough = false;
+    bool sourcesLost = false;
     {
         std::lock_guard lock(this->mutex);
         if (this->holdings.roster().epoch != roster.epoch)
             return;
-        enough = this->holdings.filledEpoch() >= roster.epoch;
-        if (this->remainingSourcesLost(enough, allMembersFetched))
-            this->holdings.markComplete();
+        enough = this->holdings.enoughFetched();
+        if (!enough && this->holdings.extendPlan())
+            this->nextFill = this->parts.clock.now();
+        else
+            sourcesLost = this->remainingSourcesLost(enough, allMembersFetched);
     }
-    LogLine(enough ? LogLevel::Info : LogLevel::Warning, "records_fetched")
+    bool complete = (enough || sourcesLost) && this->logFetched() && this->completeFill(roster);
+    LogLine(complete ? LogLevel::Info : LogLevel::Warning, "records_fetched")
         .field("epoch", roster.epoch)
         .field("sources", fetched)
         .field("asked", plan.sources.size())
         .field("enough", enough)
+        .field("complete", complete)
         .write();
 }
 
 // Returns whether the missing sources are permanently lost, that is, more disks failed at once than the deployment
-// tolerates. Continuing with the remaining records is then better than never serving again.
+// tolerates. Continuing with the remaining records is then better than never serving again. Sources that are still
+// fetching records themselves are waited for longer than lost ones.
 bool RecordNode::remainingSourcesLost(bool enough, bool allMembersFetched)
 {
     TimePoint now = this->parts.clock.now();
@@ -354,23 +366,24 @@
     }
     if (!this->sourcesMissingSince)
         this->sourcesMissingSince = now;
-    if (now - *this->sourcesMissingSince < lostSourcesTimeout)
+    Duration timeout = this->holdings.enoughOnceSourcesAreFilled() ? unfilledSourcesTimeout : lostSourcesTimeout;
+    if (now - *this->sourcesMissingSince < timeout)
         return false;
     LogLine(LogLevel::Error, "records_may_be_lost").field("epoch", this->holdings.roster().epoch).write();
     this->sourcesMissingSince.reset();
     return true;
 }
 
-// Fetches the records that the filter selects, continuing after the last fetch with the same filter. Returns the epoch
-// up to which the source had itself fetched everything, or nullopt if the fetch is incomplete.
-std::optional<std::uint64_t> RecordNode::fetchFrom(const RosterMember& source, const FillFilter& filter)
+// Fetches the records that the filter selects, continuing after the last fetch with the same filter. Returns the epochs
+// for which the source had itself fetched everything, or nullopt if the fetch is incomplete or not on the own disk.
+std::optional<std::vector<std::uint64_t>> RecordNode::fetchFrom(const RosterMember& source, const FillFilter& filter)
 {
     Cursor& cursor = this->cursors[source.address];
     if (!(cursor.filter == filter))
         cursor = { filter, 0, 0 };
     for (;;) {
         auto page = this->sendRequest(source.address, FillRequest { cursor.position, filter }, fillTimeout);
-        if (!page || page->status != RecordStatus::Ok)
+        if (!page || page->status != RecordStatus::Ok || page->disk != source.disk)
             return std::nullopt;
         if (page->session != cursor.session) {
             bool restart = cursor.position != 0;
@@ -379,10 +392,11 @@
             if (restart)
                 continue;
         }
-        this->mergeFetched(*page, filter);
+        if (!this->mergeFetched(*page, filter))
+            return std::nullopt;
         cursor.position = page->next;
         if (page->last)
-            return page->filledEpoch;
+            return page->filledEpochs;
         std::lock_guard lock(this->wakeMutex);
         if (this->stopping)
             return std::nullopt;
@@ -397,31 +411,39 @@
         return false;
     RecordResponse page;
     page.reservations = std::move(*reservations);
-    this->mergeFetched(page, makeFilter(this->settings.node, this->roster(), {}, this->settings.tolerance));
-    return true;
+    return this->mergeFetched(page, makeFilter(this->settings.node, this->roster(), {}, this->settings.tolerance));
 }
 
-void RecordNode::mergeFetched(const RecordResponse& page, const FillFilter& filter)
+// Adds fetched records to the table and the log. Returns false if they are not on the disk.
+bool RecordNode::mergeFetched(const RecordResponse& page, const FillFilter& filter)
 {
-    std::vector<std::string> added;
     GroupSelector selector(filter, this->settings.tolerance);
     {
         std::lock_guard lock(this->mutex);
         for (const StoredTurn& turn : page.turns) {
             if (selector.wants(turn.group) && this->table.add(turn))
-                added.push_back(encodeLoggedEntry(turn));
+                this->unloggedEntries.push_back(encodeLoggedEntry(turn));
         }
         for (const Reservation& reservation : page.reservations) {
             if (selector.wants(reservation.program) && this->table.add(reservation))
-                added.push_back(encodeLoggedEntry(reservation));
+                this->unloggedEntries.push_back(encodeLoggedEntry(reservation));
         }
     }
-    if (added.empty())
-        return;
-    for (std::size_t i = 0; i + 1 < added.size(); ++i)
-        this->log.appendAsync(added[i]);
-    if (!this->log.appendDurably(added.back()))
+    return this->logFetched();
+}
+
+// Writes fetched records to the log that it lacks. A record that the table has is not added to it, and so not logged,
+// by another fetch.
+bool RecordNode::logFetched()
+{
+    if (this->unloggedEntries.empty())
+        return true;
+    if (!this->log.appendAllDurably(this->unloggedEntries)) {
         LogLine(LogLevel::Error, "records_fetched").field("problem", "write to disk failed").write();
+        return false;
+    }
+    this->unloggedEntries.clear();
+    return true;
 }
 
 // Removes this node from the roster and retires once enough other members have fetched its records.
@@ -462,6 +484,7 @@
 void RecordNode::expire()
 {
     this->removeExpired();
+    std::lock_guard progressLock(this->progressMutex);
     this->log.compactIfLarge([this] { return this->liveEntries(); });
 }
 
@@ -470,7 +493,7 @@
     std::vector<std::string> entries;
     std::lock_guard lock(this->mutex);
     if (this->holdings.roster().epoch > 0)
-        entries.push_back(encodeLoggedEntry(this->holdings.roster()));
+        entries.push_back(encodeLoggedEntry(this->holdings.progress()));
     std::uint64_t position = 0;
     bool last = false;
     auto all = [](std::string_view) { return true; };
--- a/lovagecross/records/Roster.cpp
+++ b/lovagecross/records/Roster.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::int64_t maxEpoch = std::int64_t(1) << 53U; // up to here, a JSON number is exact as a double
 constexpr std::size_t maxMembers = 1000;
+constexpr std::size_t maxChanges = 64;
 
 template <typename Visitor, typename MemberType> void visitMember(Visitor& visit, MemberType& member)
 {
@@ -25,12 +26,22 @@
     visit.text("dataCentre", member.dataCentre, idRule, Presence::Required);
 }
 
+template <typename Visitor, typename ChangeType> void visitChange(Visitor& visit, ChangeType& change)
+{
+    visit.integer("epoch", change.epoch, { 1, maxEpoch }, Presence::Required);
+    visit.texts("added", change.added, idRule, { 0, maxMembers });
+    visit.objects("removed", change.removed, { 0, maxMembers },
+        [](auto& memberVisit, auto& member) { visitMember(memberVisit, member); });
+}
+
 template <typename Visitor, typename RosterType> void visitRoster(Visitor& visit, RosterType& roster)
 {
     visit.integer("epoch", roster.epoch, { 1, maxEpoch }, Presence::Required);
     visit.objects(
         "members", roster.members, { 0, maxMembers },
         [](auto& memberVisit, auto& member) { visitMember(memberVisit, member); }, Presence::Required);
+    visit.objects("changes", roster.changes, { 0, maxChanges },
+        [](auto& changeVisit, auto& change) { visitChange(changeVisit, change); });
 }
 
 void sortByName(Roster& roster)
@@ -39,6 +50,40 @@
         [](const RosterMember& left, const RosterMember& right) { return left.node < right.node; });
 }
 
+// Returns the roster before the last of its changes.
+Roster rosterBefore(const Roster& roster)
+{
+    Roster before = roster;
+    RosterChange change = before.changes.back();
+    before.changes.pop_back();
+    before.epoch = change.epoch - 1;
+    std::erase_if(before.members, [&](const RosterMember& member) {
+        return std::find(change.added.begin(), change.added.end(), member.node) != change.added.end();
+    });
+    before.members.insert(before.members.end(), change.removed.begin(), change.removed.end());
+    sortByName(before);
+    return before;
+}
+
+void addChange(Roster& roster, RosterChange change)
+{
+    change.epoch = roster.epoch;
+    roster.changes.push_back(std::move(change));
+    if (roster.changes.size() > maxChanges)
+        roster.changes.erase(roster.changes.begin());
+}
+
+// Removes the member, if there is one, and adds it to those that the change has removed.
+void removeMember(Roster& roster, std::string_view node, RosterChange& change)
+{
+    auto found = std::find_if(
+        roster.members.begin(), roster.members.end(), [&](const RosterMember& member) { return member.node == node; });
+    if (found == roster.members.end())
+        return;
+    change.removed.push_back(std::move(*found));
+    roster.members.erase(found);
+}
+
 } // namespace
 
 const RosterMember* Roster::find(std::string_view node) const
@@ -50,6 +95,29 @@
     return nullptr;
 }
 
+bool Roster::hasDisk(std::string_view node, std::uint64_t disk) const
+{
+    const RosterMember* member = this->find(node);
+    return member != nullptr && member->disk == disk;
+}
+
+std::vector<Roster> formerRosters(const Roster& roster)
+{
+    std::vector<Roster> former;
+    Roster oldest = roster;
+    while (!oldest.changes.empty() && oldest.changes.back().epoch == oldest.epoch && oldest.epoch > 1) {
+        oldest = rosterBefore(oldest);
+        former.push_back(withoutChanges(oldest));
+    }
+    std::reverse(former.begin(), former.end());
+    return former;
+}
+
+Roster withoutChanges(const Roster& roster)
+{
+    return { roster.epoch, roster.members, {} };
+}
+
 std::string printRoster(const Roster& roster)
 {
     JsonWriter writer;
@@ -128,20 +196,21 @@
 {
     Roster next = roster;
     ++next.epoch;
-    bool replacesItself
-        = std::erase_if(next.members, [&](const auto& member) { return member.node == joining.node; }) > 0;
+    RosterChange change;
+    removeMember(next, joining.node, change);
+    bool replacesItself = !change.removed.empty();
     const RosterMember* lost = nullptr;
     for (const std::string& name : unreachable) {
         const RosterMember* member = next.find(name);
         if (member != nullptr && (lost == nullptr || member->dataCentre == joining.dataCentre))
             lost = member;
     }
-    if (lost != nullptr && !replacesItself) {
-        std::string name = lost->node;
-        std::erase_if(next.members, [&](const auto& member) { return member.node == name; });
-    }
+    if (lost != nullptr && !replacesItself)
+        removeMember(next, std::string(lost->node), change);
     next.members.push_back(joining);
+    change.added.push_back(joining.node);
     sortByName(next);
+    addChange(next, std::move(change));
     return next;
 }
 
@@ -149,7 +218,9 @@
 {
     Roster next = roster;
     ++next.epoch;
-    std::erase_if(next.members, [&](const auto& member) { return member.node == node; });
+    RosterChange change;
+    removeMember(next, node, change);
+    addChange(next, std::move(change));
     return next;
 }
 
--- a/lovagecross/records/Roster.h
+++ b/lovagecross/records/Roster.h
@@ -28,15 +28,34 @@
     bool operator==(const RosterMember&) const = default;
 };
 
+// How a roster differs from that of the epoch before.
+struct RosterChange {
+    std::uint64_t epoch = 0; // of the roster after the change
+    std::vector<std::string> added; // node names
+    std::vector<RosterMember> removed; // including those whose disk was replaced
+
+    bool operator==(const RosterChange&) const = default;
+};
+
 struct Roster {
     std::uint64_t epoch = 0; // 0 if no roster is known
     std::vector<RosterMember> members; // sorted by node name
+    // The latest changes, up to `epoch`, oldest first. Members need them to find the records of former epochs; empty
+    // where only the members matter.
+    std::vector<RosterChange> changes {};
 
     bool operator==(const Roster&) const = default;
 
     const RosterMember* find(std::string_view node) const;
+    bool hasDisk(std::string_view node, std::uint64_t disk) const;
 };
 
+// Returns the rosters of the epochs before that of `roster`, as far as its changes go back, oldest first.
+std::vector<Roster> formerRosters(const Roster& roster);
+
+// Returns the roster without its changes.
+Roster withoutChanges(const Roster& roster);
+
 // Number of simultaneous failures that the deployment tolerates.
 struct Tolerance {
     std::uint32_t machines = 1;
--- a/lovagecross/records/RosterTest.cpp
+++ b/lovagecross/records/RosterTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(replicasSurviveADataCentre);
     CPPUNIT_TEST(copiesMustSpreadOverDataCentres);
     CPPUNIT_TEST(joiningReplacesTheRightMember);
+    CPPUNIT_TEST(changesLeadBackToFormerRosters);
     CPPUNIT_TEST_SUITE_END();
 
     void printedRosterParses()
@@ -107,6 +108,28 @@
         CPPUNIT_ASSERT(grown.members.size() == 4);
         CPPUNIT_ASSERT(withoutMember(grown, "n30").members.size() == 3);
     }
+
+    // Guards against a node that missed a change and asks the wrong members for records.
+    void changesLeadBackToFormerRosters()
+    {
+        std::vector<Roster> rosters { threeMembers() };
+        rosters.push_back(withMember(rosters.back(), { "n9", 9, "10.0.0.9:7000", "a" }, {}));
+        rosters.push_back(withoutMember(rosters.back(), rosters[0].members[0].node));
+        rosters.push_back(withMember(rosters.back(), { "n9", 10, "10.0.0.9:7000", "a" }, {}));
+        rosters.push_back(
+            withMember(rosters.back(), { "n8", 8, "10.0.0.8:7000", "b" }, { rosters[0].members[1].node }));
+        auto former = formerRosters(rosters.back());
+        CPPUNIT_ASSERT_EQUAL(rosters.size() - 1, former.size());
+        for (std::size_t i = 0; i < former.size(); ++i)
+            CPPUNIT_ASSERT(former[i] == withoutChanges(rosters[i]));
+        Roster many = rosters.back();
+        for (int i = 0; i < 200; ++i)
+            many = withMember(many, { "n9", static_cast<std::uint64_t>(100 + i), "10.0.0.9:7000", "a" }, {});
+        CPPUNIT_ASSERT(many.changes.size() < 100);
+        CPPUNIT_ASSERT_EQUAL(many.changes.size(), formerRosters(many).size());
+        Roster parsed = handle([&] { return parseRoster(printRoster(many)); }, [](const Error&) { return Roster {}; });
+        CPPUNIT_ASSERT(parsed == many);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RosterTest);
