A record node leaves only after all others have fetched what it held

Cause: a leaving node counted any f + 1 members that had completed a fill. In a roster with more members than a group has replicas these are mostly members that had little to fetch; those that take its records over were not waited for.

Change: `handedOver` waits for every member of the newest roster. Members that have been silent for 3 s are not waited for, as long as they are no more than the deployment tolerates. A leaving node that learns of a newer roster asks its members.

--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -139,6 +139,7 @@
     void removeFailedMember(const Roster& roster);
     void drainPlatform(const Roster& roster);
     void leave();
+    bool handedOver(const Roster& roster);
     void expire();
     void removeExpired();
     bool askForExpiry(const Roster& roster, ExpiryVotes& votes);
@@ -186,6 +187,7 @@
     PlatformRecords platform;
     std::optional<TimePoint> sourcesMissingSince;
     std::vector<std::string> unloggedEntries; // fetched records that could not be written to the log yet
+    std::map<std::string, TimePoint> silentSince; // members that don't answer while this node leaves, by name
     std::vector<std::string> drainedTurnIds; // turns that are on enough disks but not yet removed from the platform
 
     std::mutex wakeMutex;
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -29,6 +29,7 @@
 constexpr Duration storeTimeout = milliseconds(500);
 constexpr Duration lostSourcesTimeout = std::chrono::seconds(3); // in addition to the removal timeout
 constexpr Duration unfilledSourcesTimeout = std::chrono::seconds(30);
+constexpr Duration silentMemberTimeout = std::chrono::seconds(3); // longer than a restart takes
 constexpr Duration stopPollInterval = milliseconds(20);
 
 } // namespace
@@ -446,7 +447,7 @@
     return true;
 }
 
-// Removes this node from the roster and retires once enough other members have fetched its records.
+// Removes this node from the roster and retires once the other members have fetched its records.
 void RecordNode::leave()
 {
     Roster roster = this->roster();
@@ -461,24 +462,45 @@
         this->announce(next);
         roster = next;
     }
+    if (!this->handedOver(roster))
+        return;
+    std::lock_guard lock(this->mutex);
+    this->isRetired = true;
+}
+
+// Returns whether every member has completed the fill of the roster, so that none needs this node as a source any more.
+// Members that have been silent for a while are not waited for, as long as they are no more than tolerated.
+bool RecordNode::handedOver(const Roster& roster)
+{
+    TimePoint now = this->parts.clock.now();
     std::size_t filled = 0;
+    std::size_t lost = 0;
     for (const RosterMember& member : roster.members) {
-        this->sendRequest(member.address, AdoptRequest { roster }, inspectTimeout);
+        auto adopted = this->sendRequest(member.address, AdoptRequest { roster }, inspectTimeout);
+        if (adopted && adopted->roster && adopted->roster->epoch > roster.epoch) {
+            this->adopt(
+                *adopted->roster, false); // another node has joined or left since; the next call asks its members
+            return false;
+        }
         auto state = this->sendRequest(member.address, InspectRequest {}, inspectTimeout);
-        if (state && state->filledEpoch >= roster.epoch)
-            ++filled;
+        if (state) {
+            this->silentSince.erase(member.node);
+            filled += state->filledEpoch >= roster.epoch ? 1 : 0;
+            continue;
+        }
+        TimePoint since = this->silentSince.emplace(member.node, now).first->second;
+        lost += now - since >= silentMemberTimeout ? 1 : 0;
     }
-    std::size_t needed = std::min<std::size_t>(roster.members.size(), this->settings.tolerance.machines + 1);
+    std::size_t tolerated = std::min<std::size_t>(lost, this->settings.tolerance.machines);
+    std::size_t needed = std::max<std::size_t>(roster.members.size() - tolerated, 1);
     LogLine(LogLevel::Info, "retiring")
         .field("epoch", roster.epoch)
         .field("members", roster.members.size())
         .field("filled", filled)
+        .field("silent", lost)
         .field("needed", needed)
         .write();
-    if (filled < needed)
-        return;
-    std::lock_guard lock(this->mutex);
-    this->isRetired = true;
+    return filled >= needed;
 }
 
 void RecordNode::expire()
--- a/lovagecross/records/RecordSimulationTest.cpp
+++ b/lovagecross/records/RecordSimulationTest.cpp
@@ -524,6 +524,8 @@
 class RecordSimulationTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(RecordSimulationTest);
     CPPUNIT_TEST(nodeKilledAtAnyStepOfAFillVotesOnNothingThatItLacks);
+    CPPUNIT_TEST(nodesRetireOnlyAfterTheirRecordsWereTakenOver);
+    CPPUNIT_TEST(nodesThatStopAtOnceLoseNothing);
     CPPUNIT_TEST(lostDiskIsRefilledOverRestarts);
     CPPUNIT_TEST(fetchThatTheDiskRefusesIsRepeated);
     CPPUNIT_TEST_SUITE_END();
@@ -619,6 +621,48 @@
         }
     }
 
+    // Guards against retirements that are reported as completed while other nodes still fetch the records.
+    void nodesRetireOnlyAfterTheirRecordsWereTakenOver()
+    {
+        for (int seed = 1; seed <= seedsOfAScenario; ++seed) {
+            RecordSimulation simulation(static_cast<std::uint64_t>(seed), { 0, {}, 6, 6 });
+            startWithRecords(simulation);
+            leaveRoster(simulation, { "n4", "n5" });
+            for (int round = 0; round < 20; ++round) {
+                simulation.advance(roundDuration);
+                for (const char* name : { "n4", "n5", "n1", "n3", "n6" }) // n2 has not fetched yet
+                    simulation.maintain(name);
+                CPPUNIT_ASSERT(!simulation.retired("n4") && !simulation.retired("n5"));
+            }
+            expectNoViolation(simulation, static_cast<std::uint64_t>(seed));
+            CPPUNIT_ASSERT(simulation.retired("n4") && simulation.retired("n5"));
+        }
+    }
+
+    // Guards against budgets that are granted anew because all nodes have left the roster for an orderly stop at once.
+    void nodesThatStopAtOnceLoseNothing()
+    {
+        for (int seed = 1; seed <= seedsOfAScenario; ++seed) {
+            RecordSimulation simulation(static_cast<std::uint64_t>(seed), { 0, {}, 6, 6 });
+            startWithRecords(simulation);
+            const std::vector<std::string> all { "n1", "n2", "n3", "n4", "n5", "n6" };
+            for (const std::string& name : all)
+                simulation.retire(name);
+            for (int round = 0; round < seed % 6; ++round) {
+                simulation.advance(roundDuration);
+                for (const std::string& name : all)
+                    simulation.maintain(name);
+            }
+            for (const std::string& name : all) {
+                simulation.kill(name);
+                simulation.stopLeaving(name);
+            }
+            for (const std::string& name : all)
+                simulation.restart(name);
+            expectNoViolation(simulation, static_cast<std::uint64_t>(seed));
+        }
+    }
+
     // Guards against a node that lost its disk and takes itself for complete after a restart, while a source is down.
     void lostDiskIsRefilledOverRestarts()
     {
