Only the node that creates the first roster has nothing to fetch

What callers could see: budgets granted anew (BUDGET) after a machine that was late at the first start had joined.

Cause: every node with a new disk counted as founding while `firstStart` was set, and voted at once if three or more members were there, also when the others had been serving for a while.

Change: only the node that creates the roster's object starts complete.

Tests: lateFirstStartVotesOnNothingThatItLacks fails before ("p0 was granted 6 tokens"). promisesHoldUnderRandomSchedules, random orders of kills, lost disks, joins, retirements, cuts, compactions and lost messages, is switched on with this commit.

--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -244,8 +244,7 @@
         .field("members", next.members.size())
         .write();
     this->newDisk = false;
-    // Reservations granted during the initial start may be stored at the platform.
-    this->adopt(next, founding && !platformVotes(before, this->settings.tolerance));
+    this->adopt(next, status == StoreStatus::NotFound);
     this->announce(next);
     std::lock_guard lock(this->wakeMutex);
     this->wakeRequested = true;
--- a/lovagecross/records/RecordSimulationTest.cpp
+++ b/lovagecross/records/RecordSimulationTest.cpp
@@ -523,10 +523,12 @@
 
 class RecordSimulationTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(RecordSimulationTest);
+    CPPUNIT_TEST(promisesHoldUnderRandomSchedules);
     CPPUNIT_TEST(nodeKilledAtAnyStepOfAFillVotesOnNothingThatItLacks);
     CPPUNIT_TEST(nodesRetireOnlyAfterTheirRecordsWereTakenOver);
     CPPUNIT_TEST(nodesThatStopAtOnceLoseNothing);
     CPPUNIT_TEST(lostDiskIsRefilledOverRestarts);
+    CPPUNIT_TEST(lateFirstStartVotesOnNothingThatItLacks);
     CPPUNIT_TEST(fetchThatTheDiskRefusesIsRepeated);
     CPPUNIT_TEST_SUITE_END();
 
@@ -685,6 +687,23 @@
         }
     }
 
+    // Guards against a node that is started for the first time after the others have records, and votes without them.
+    void lateFirstStartVotesOnNothingThatItLacks()
+    {
+        for (int seed = 1; seed <= seedsOfAScenario; ++seed) {
+            RecordSimulation simulation(static_cast<std::uint64_t>(seed), { 0, {}, 4, 5 });
+            startWithRecords(simulation);
+            std::string late = simulation.add(true);
+            for (int i = 0; i < 5 && !simulation.inRoster(late); ++i) {
+                simulation.advance(roundDuration);
+                simulation.maintain(late);
+            }
+            for (int i = 0; i < 60; ++i)
+                simulation.reserve("p" + std::to_string(i % programs));
+            expectNoViolation(simulation, static_cast<std::uint64_t>(seed));
+        }
+    }
+
     // Guards against records that were fetched but not written, and count as fetched after a restart.
     void fetchThatTheDiskRefusesIsRepeated()
     {
