--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -1,6 +1,7 @@
 #include "lovagecross/sharing/DirectoryFollower.h"
 
 #include "lovagecross/adapters/Log.h"
+#include "lovagecross/config/Address.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,6 +12,12 @@
 
 constexpr std::size_t maxPublishersPerStep = 3;
 constexpr Duration pauseAfterFailure = std::chrono::milliseconds(100);
+constexpr std::int64_t maxMessageMillis = 24 * 3600 * 1000; // of a time in a message, so that none overflows
+
+Duration durationOf(std::int64_t millis)
+{
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(millis, 0, maxMessageMillis));
+}
 
 ServerEntry fromMessage(const DirectoryServer& message)
 {
@@ -21,7 +28,7 @@
     entry.dataCentre = message.dataCentre;
     entry.slots = message.slots;
     entry.state = message.draining ? ServerState::Draining : ServerState::Ready;
-    entry.coldFor = std::chrono::milliseconds(message.coldMillis);
+    entry.coldFor = durationOf(message.coldMillis);
     entry.startedUnixMillis = message.startedUnixMillis;
     entry.softwareVersion = message.softwareVersion;
     return entry;
@@ -72,12 +79,19 @@
 
 void DirectoryFollower::apply(const DirectoryUpdate& update)
 {
-    Duration age = std::chrono::milliseconds(update.registryAgeMillis);
+    Duration age = durationOf(update.registryAgeMillis);
     this->learnLimits(update.limits); // before the servers: a new server's limit is known when it gets its first call
     if (update.registryKnown && update.hasServers) {
         std::vector<ServerEntry> servers;
-        for (const DirectoryServer& server : update.servers)
-            servers.push_back(fromMessage(server));
+        for (const DirectoryServer& server : update.servers) {
+            if (isAddress(server.address) && !server.service.empty())
+                servers.push_back(fromMessage(server));
+            else
+                LogLine(LogLevel::Warning, "server_entry_unusable")
+                    .field("server", server.id)
+                    .field("from", "publisher")
+                    .write();
+        }
         this->directory.replaceServersFromPeer(std::move(servers), update.registryRevision, age);
     } else if (update.registryKnown) {
         this->directory.confirmServersFromPeer(update.registryRevision, age);
--- a/lovagecross/sharing/DirectoryFollowerTest.cpp
+++ b/lovagecross/sharing/DirectoryFollowerTest.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
+#include <set>
 
 namespace lovagecross {
 
@@ -59,6 +60,7 @@
     CPPUNIT_TEST(nodeWithoutPublishersIsNotUpToDate);
     CPPUNIT_TEST(olderDataIsIgnored);
     CPPUNIT_TEST(listsThatDifferAtTheSameRevisionAreApplied);
+    CPPUNIT_TEST(oddEntriesOfAPublisherAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
     ManualClock clock;
@@ -161,6 +163,29 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), target.view()->configuration->version);
         CPPUNIT_ASSERT_EQUAL(std::string("a"), target.view()->serversOf("tool")[0].id);
     }
+
+    // Guards against an entry that one node passes on unchecked: an address that can't be used, or times that overflow.
+    void oddEntriesOfAPublisherAreSkipped()
+    {
+        Directory source(this->clock);
+        Directory target(this->clock);
+        ServerEntry odd = makeServerEntry("odd");
+        odd.address = "10.0.0.9:99999";
+        ServerEntry endless = makeServerEntry("endless");
+        endless.coldFor = Duration::max();
+        source.replaceServers({ makeServerEntry("good"), odd, endless }, 5);
+        this->peers.publishers["p"] = &source;
+        DirectoryFollower follower = this->follow(target);
+        follower.step({ "p" });
+        std::set<std::string> ids;
+        for (const auto& [service, servers] : target.view()->servers) {
+            for (const ServerEntry& server : servers) {
+                ids.insert(server.id);
+                CPPUNIT_ASSERT(server.coldFor >= Duration(0) && server.coldFor <= std::chrono::hours(24));
+            }
+        }
+        CPPUNIT_ASSERT(ids == std::set<std::string>({ "good", "endless" }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryFollowerTest);
