A request is never sent twice on one connection to a server

Cause: what tells the answer to a request from a copy of an earlier one is the request id on that connection. A caller that sends a request again with the id that it had, after a refusal, could get the same kept connection, and a copy of the refusal, written by a faulty server, passed for the new answer. Copies that name another request, or none, were told apart already.

Change: a connection keeps the hashes of the ids that it has carried, and the pool gives it to no request with one of them. It is closed after 1,000 requests. An answer therefore belongs to this attempt if it names the request and came on this connection.

Test: RepeatedRefusalTest, through sockets. refusalOfAnEarlierAttemptWithTheSameIdIsNoAnswer fails before: "HTTP/1.1 503 Service Unavailable" although the server had run the request. The two tests of copies that name another request and none pass before and after. gatewayTests 67 of 67.

--- a/lovagecross/gateway/ConnectionPool.cpp
+++ b/lovagecross/gateway/ConnectionPool.cpp
@@ -1,9 +1,11 @@
 #include "lovagecross/gateway/ConnectionPool.h"
 
 #include "lovagecross/adapters/Log.h"
+#include "lovagecross/base/Hash.h"
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lovagecross {
@@ -23,11 +25,13 @@
 {
 }
 
-PooledConnection ConnectionPool::open(const ServerEntry& server, Reuse reuse, TimePoint deadline)
+PooledConnection ConnectionPool::open(
+    const ServerEntry& server, const std::string& requestId, Reuse reuse, TimePoint deadline)
 {
-    PooledConnection connection;
-    connection.stream = this->takeIdle(server.id, reuse);
+    std::uint64_t request = stableHash(requestId);
+    PooledConnection connection = this->takeIdle(server.id, request, reuse);
     connection.reused = connection.stream != nullptr;
+    connection.sentRequests.insert(request);
     if (connection.stream)
         return connection;
     try {
@@ -46,17 +50,19 @@
     return connection;
 }
 
-void ConnectionPool::keep(const ServerEntry& server, std::unique_ptr<ByteStream> stream, Duration keepFor)
+void ConnectionPool::keep(const ServerEntry& server, PooledConnection connection, Duration keepFor)
 {
     TimePoint now = this->clock.now();
     std::unique_ptr<ByteStream> dropped; // destroyed after the lock is released
+    if (connection.sentRequests.size() >= maxRequestsPerConnection)
+        return;
     std::lock_guard lock(this->mutex);
     std::vector<IdleConnection>& list = this->idle[server.id];
     if (list.size() >= maxIdlePerServer) {
-        dropped = std::move(list.front().stream);
+        dropped = std::move(list.front().connection.stream);
         list.erase(list.begin());
     }
-    list.push_back({ std::move(stream), now, now + keepFor });
+    list.push_back({ std::move(connection), now, now + keepFor });
 }
 
 void ConnectionPool::prune(const std::vector<std::string>& serverIds)
@@ -74,26 +80,32 @@
     }
 }
 
-std::unique_ptr<ByteStream> ConnectionPool::takeIdle(const std::string& serverId, Reuse reuse)
+PooledConnection ConnectionPool::takeIdle(const std::string& serverId, std::uint64_t request, Reuse reuse)
 {
     if (reuse == Reuse::No)
-        return nullptr;
+        return {};
     std::vector<IdleConnection> dropped;
+    std::vector<IdleConnection> passedOver; // have carried the request
     std::lock_guard lock(this->mutex);
     auto found = this->idle.find(serverId);
     if (found == this->idle.end())
-        return nullptr;
+        return {};
     TimePoint now = this->clock.now();
     std::vector<IdleConnection>& list = found->second;
-    while (!list.empty()) {
+    PooledConnection taken;
+    while (!list.empty() && !taken.stream) {
         IdleConnection entry = std::move(list.back());
         list.pop_back();
         bool fresh = reuse == Reuse::Any || now - entry.idleSince < maxFreshIdleTime;
-        if (fresh && now < entry.expiresAt && entry.stream->isReusable())
-            return std::move(entry.stream);
-        dropped.push_back(std::move(entry));
+        if (entry.connection.sentRequests.count(request) > 0)
+            passedOver.push_back(std::move(entry));
+        else if (fresh && now < entry.expiresAt && entry.connection.stream->isReusable())
+            taken = std::move(entry.connection);
+        else
+            dropped.push_back(std::move(entry));
     }
-    return nullptr;
+    std::move(passedOver.rbegin(), passedOver.rend(), std::back_inserter(list));
+    return taken;
 }
 
 } // namespace lovagecross
--- a/lovagecross/gateway/ConnectionPool.h
+++ b/lovagecross/gateway/ConnectionPool.h
@@ -2,7 +2,7 @@
 
 // A pool of connections to backend servers that stay open between calls.
 //
-//     PooledConnection connection = pool.open(server, Reuse::IfRecentlyUsed, deadline);
+//     PooledConnection connection = pool.open(server, requestId, Reuse::IfRecentlyUsed, deadline);
 //     if (connection.stream) ...
 //     pool.keep(server, std::move(connection), keepFor);
 //
@@ -17,6 +17,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace lovagecross {
@@ -27,32 +28,38 @@
     No,
 };
 
+// A connection and the requests that were sent on it. A server may repeat an earlier response, which is recognized by
+// its request id; a request is therefore never sent on a connection that has carried its id before.
 struct PooledConnection {
     std::unique_ptr<ByteStream> stream; // null if the connection could not be opened
     bool reused = false;
+    std::unordered_set<std::uint64_t> sentRequests {}; // hashes of their ids
 };
 
 class ConnectionPool {
 public:
     ConnectionPool(const Clock& clock, Duration connectionTimeout);
 
-    // Returns an idle connection that is still open, or opens a new one.
-    PooledConnection open(const ServerEntry& server, Reuse reuse, TimePoint deadline);
+    // Returns an idle connection that is still open and has not carried the request, or opens a new one. The request
+    // counts as sent on it.
+    PooledConnection open(const ServerEntry& server, const std::string& requestId, Reuse reuse, TimePoint deadline);
 
     // Returns an idle connection to the pool for at most `keepFor`.
-    void keep(const ServerEntry& server, std::unique_ptr<ByteStream> stream, Duration keepFor);
+    void keep(const ServerEntry& server, PooledConnection connection, Duration keepFor);
+
+    static constexpr std::size_t maxRequestsPerConnection = 1000; // then it is closed
 
     // Closes connections to servers that are not listed, and connections whose idle time has expired.
     void prune(const std::vector<std::string>& serverIds);
 
 private:
     struct IdleConnection {
-        std::unique_ptr<ByteStream> stream;
+        PooledConnection connection;
         TimePoint idleSince;
         TimePoint expiresAt;
     };
 
-    std::unique_ptr<ByteStream> takeIdle(const std::string& serverId, Reuse reuse);
+    PooledConnection takeIdle(const std::string& serverId, std::uint64_t request, Reuse reuse);
 
     const Clock& clock;
     const Duration connectTimeout;
--- a/lovagecross/gateway/ServerExchange.cpp
+++ b/lovagecross/gateway/ServerExchange.cpp
@@ -34,11 +34,12 @@
 
 ExchangeStatus ServerExchange::start(const ServerRequest& request, TimePoint deadline)
 {
-    PooledConnection connection = this->pool.open(this->server, request.reuse, deadline);
+    PooledConnection connection = this->pool.open(this->server, request.requestId, request.reuse, deadline);
     if (!connection.stream)
         return ExchangeStatus::NotSent;
     this->stream = std::move(connection.stream);
     this->reused = connection.reused;
+    this->sentRequests = std::move(connection.sentRequests);
     HeaderList headers = request.headers;
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         headers.set("Content-Length", std::to_string(request.body.size()));
@@ -203,7 +204,8 @@
         && this->response.framing.kind != BodyFraming::UntilClose && this->stream->isReusable();
     Duration keepFor = this->idleTimeout();
     if (reusable && keepFor > Duration(0))
-        this->pool.keep(this->server, std::move(this->stream), keepFor);
+        this->pool.keep(
+            this->server, { std::move(this->stream), this->reused, std::move(this->sentRequests) }, keepFor);
     this->stream.reset();
 }
 
--- a/lovagecross/gateway/ServerExchange.h
+++ b/lovagecross/gateway/ServerExchange.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 namespace lovagecross {
 
@@ -94,6 +95,7 @@
     bool watchCaller = true;
     std::unique_ptr<ByteStream> stream;
     bool reused = false;
+    std::unordered_set<std::uint64_t> sentRequests; // on this connection, hashes of their ids
     bool requestSent = false;
     bool streamEnded = false;
     std::size_t bytesAfterDeadline = 0;
