A call reads the list of servers anew for each attempt, and continues no stream by an old list

Also, a later attempt of a long call reached a server that had been leaving for longer than allowed.

Cause: a call took the list of servers once, when it began, and compared a stream's version with that list in all its attempts. Nothing bounded the age of the list: a node that is out of step went on by what it knew.

Change: each attempt reads the current list; the configuration stays that of the call's beginning. A stream that has begun is continued only by a list that was read at most 2 s ago, by this node or by one that it follows; otherwise the caller is told at once that nothing has run, and may come back. The list's age counts the wall clock too, since a suspended VM's monotonic clock stands still.

Tests fail before: serverThatCameBackWithAnotherVersionDoesNotContinue (the response goes on to its end), streamIsNotContinuedByAnOldList, laterAttemptDoesNotReachAServerThatHasLeftSince (one request instead of none).

Open: a list that is younger than 2 s may still name the old version of a server that has just restarted; servers don't say their version themselves. A stream that begins there is recorded with the old version.

--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -27,6 +27,9 @@
 // which callers disconnect, and longer than the pauses of a busy engine.
 constexpr Duration minStallTimeout = milliseconds(600);
 constexpr Duration minFirstEventTimeout = milliseconds(1000);
+// Age of the server list up to which a stream is continued by the versions in it. Older lists are of a node that is out
+// of step with the others, which may have seen servers come back with another version.
+constexpr Duration maxListAgeToContinue = std::chrono::seconds(2);
 
 // Whether the status tells the caller that the call was not executed.
 bool claimsNotExecuted(int status)
@@ -48,12 +51,17 @@
     else if (found.sticky && !this->call.affinityKey.empty())
         request.affinityHash = stableHash(this->call.affinityKey) | 1U;
     const std::uint32_t mostSends = found.maxAttempts + maxExtraSends;
-    const std::vector<ServerEntry>& servers = this->view->serversOf(service);
     AttemptOutcome outcome = AttemptOutcome::TryNextServer;
     while (outcome == AttemptOutcome::TryNextServer && this->sends < mostSends) {
         if (this->timeLeft() <= detail::minTimeToSend)
             break;
-        std::optional<ServerEntry> chosen = this->chooseServer(request, servers);
+        if (this->versionIsFixed() && this->parts.directory.registryAge() > maxListAgeToContinue) {
+            this->lastFailure = "server_list_too_old";
+            break;
+        }
+        // Read anew for each attempt: a server may have left, or come back with another version, since the last one.
+        auto current = this->parts.directory.view();
+        std::optional<ServerEntry> chosen = this->chooseServer(request, current->serversOf(service));
         if (chosen)
             outcome = this->runAttemptIfPermitted(found, *chosen);
         else if (!this->waitForPermit())
--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -2,6 +2,7 @@
 
 #include "lovagecross/base/Hash.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -103,7 +104,7 @@
         return;
     this->registryOutage = false;
     this->hasRegistryData = true;
-    this->lastReadAt = this->clock.now() - age;
+    this->setLastRead(age);
     this->servers.clear();
     this->lapsed.clear();
     for (ServerEntry& entry : list)
@@ -117,7 +118,7 @@
     if (!this->acceptRevision(newRevision))
         return;
     this->registryOutage = false;
-    this->lastReadAt = this->clock.now() - age;
+    this->setLastRead(age);
 }
 
 void Directory::registryUnreachable()
@@ -148,7 +149,16 @@
 Duration Directory::registryAge() const
 {
     std::lock_guard lock(this->mutex);
-    return this->hasRegistryData ? this->clock.now() - this->lastReadAt : Duration::max();
+    if (!this->hasRegistryData)
+        return Duration::max();
+    Duration byWallClock = std::chrono::milliseconds(this->clock.unixMillis() - this->lastReadUnixMillis);
+    return std::max<Duration>(this->clock.now() - this->lastReadAt, byWallClock);
+}
+
+void Directory::setLastRead(Duration age)
+{
+    this->lastReadAt = this->clock.now() - age;
+    this->lastReadUnixMillis = this->clock.unixMillis() - toMillis(age);
 }
 
 void Directory::onChange(std::function<void(const DirectoryView&)> newListener)
@@ -163,7 +173,7 @@
         this->deferRemovalsUntil = now + lapsedGracePeriod;
     this->registryOutage = false;
     this->hasRegistryData = true;
-    this->lastReadAt = now;
+    this->setLastRead(Duration(0));
 }
 
 bool Directory::acceptRevision(std::uint64_t newRevision)
--- a/lovagecross/gateway/Directory.h
+++ b/lovagecross/gateway/Directory.h
@@ -68,7 +68,8 @@
     // Removes servers whose grace period has ended. Must be called periodically.
     void removeLapsedServers();
 
-    // Time since the last successful read of the registry.
+    // Time since the last successful read of the registry. Includes time for which the VM was suspended, which the
+    // monotonic clock may not count.
     Duration registryAge() const;
 
     // Sets the function that is called after every change, on the thread that made the change.
@@ -79,6 +80,7 @@
 
 private:
     void registryReached(TimePoint now);
+    void setLastRead(Duration age);
     bool acceptRevision(std::uint64_t newRevision);
     void removeServer(const std::string& id, TimePoint now);
     void publish(std::unique_lock<std::mutex>& lock);
@@ -94,6 +96,7 @@
     bool hasRegistryData = false;
     bool registryOutage = false;
     TimePoint lastReadAt;
+    std::int64_t lastReadUnixMillis = 0;
     TimePoint deferRemovalsUntil;
     std::function<void(const DirectoryView&)> listener;
 };
--- a/lovagecross/gateway/StreamVersionTest.cpp
+++ b/lovagecross/gateway/StreamVersionTest.cpp
@@ -12,6 +12,9 @@
     CPPUNIT_TEST(streamOfAVersionThatIsGoneIsRefused);
     CPPUNIT_TEST(streamOfUnknownOriginIsRefused);
     CPPUNIT_TEST(streamWithoutEventsMayBeginAtAnotherVersion);
+    CPPUNIT_TEST(serverThatCameBackWithAnotherVersionDoesNotContinue);
+    CPPUNIT_TEST(streamIsNotContinuedByAnOldList);
+    CPPUNIT_TEST(laterAttemptDoesNotReachAServerThatHasLeftSince);
     CPPUNIT_TEST_SUITE_END();
 
     std::uint64_t revision = 1000;
@@ -142,6 +145,57 @@
         response = this->takeUp("again", "first", 3);
         CPPUNIT_ASSERT_MESSAGE(response, contains(response, "Signed: server4") && contains(response, "data: e6\n"));
     }
+
+    // Guards against a stream that goes on at a server which has restarted under its id with another version since the
+    // call began.
+    void serverThatCameBackWithAnotherVersionDoesNotContinue()
+    {
+        this->addVersion("v1", [this](const ScriptedRequest& request, ScriptedConnection& connection) {
+            this->entries[1].softwareVersion = "v2";
+            ++this->entries[1].startedUnixMillis;
+            this->publishServers();
+            connection.write(streamHead(request) + printChunk(event(1) + event(2)));
+            return false;
+        });
+        this->addVersion("v1", writesUpTo(6));
+        this->entries.back().dataCentre = "b"; // so that the first one is preferred
+        this->publishServers();
+        std::string response = this->begin("r");
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, "data: e2\n") && !contains(response, "data: e3\n"));
+        CPPUNIT_ASSERT_EQUAL(0, this->servers[1]->requests());
+    }
+
+    // Guards against a node that was cut off or stood still, and continues streams by versions that it knew before.
+    void streamIsNotContinuedByAnOldList()
+    {
+        this->addVersion("v1", writesUpTo(3));
+        CPPUNIT_ASSERT(contains(this->begin("first"), "data: e3\n"));
+        this->addVersion("v1", writesUpTo(6));
+        std::this_thread::sleep_for(milliseconds(2100));
+        std::string response = this->takeUp("again", "first", 3);
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, "HTTP/1.1 503 ") && contains(response, "Retry-After"));
+        CPPUNIT_ASSERT_EQUAL(0, this->servers.back()->requests());
+        this->publishServers();
+        response = this->takeUp("later", "first", 3);
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, "data: e6\n"));
+    }
+
+    // Guards against a long call whose later attempts go by the list of its beginning.
+    void laterAttemptDoesNotReachAServerThatHasLeftSince()
+    {
+        this->addVersion("v1", [this](const ScriptedRequest&, ScriptedConnection& connection) {
+            this->entries[1].state = ServerState::Draining;
+            this->publishServers();
+            connection.reset();
+            return false;
+        });
+        this->addVersion("v1", writesUpTo(6));
+        this->entries.back().dataCentre = "b"; // so that the first one is preferred
+        this->publishServers();
+        this->begin("r");
+        CPPUNIT_ASSERT_EQUAL(1, this->servers[0]->requests());
+        CPPUNIT_ASSERT_EQUAL(0, this->servers[1]->requests());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamVersionTest);
