A stream of a split route is taken up at the service that began it

Cause: the service of a split route is picked by the hash of the request's own id. The attempt that takes a stream up has another id. The recorded origin held the version only.

Change: the origin names the service too, and a take-up goes to it, as long as the route still names it.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -55,19 +55,15 @@
 
 AfterCall CallRunner::runRouted(const Route& found)
 {
-    const std::string& service = pickService(found, stableHash(this->call.requestId));
-    auto spec = this->view->configuration->services.find(service);
-    if (spec != this->view->configuration->services.end() && spec->second.engine) {
-        this->servedByEngine = true;
-        this->tokensPerEvent = spec->second.engine->tokensPerEvent;
-    }
-    if (this->view->serversOf(service).empty())
+    this->selectService(pickService(found, stableHash(this->call.requestId)));
+    bool mayChangeService = found.kind == CallKind::Streaming && found.resumable && this->isTakeUp();
+    if (!mayChangeService && this->view->serversOf(this->service).empty())
         return this->refuse(503, "the service has no server", longRetryAfter);
     if (found.kind == CallKind::Streaming) {
         if (auto refused = this->prepareTurn(found))
             return *refused;
     }
-    AttemptOutcome outcome = this->runAttempts(found, service);
+    AttemptOutcome outcome = this->runAttempts(found);
     this->settleTokens();
     switch (outcome) {
     case AttemptOutcome::Completed:
@@ -89,6 +85,24 @@
     return this->finishFailedCall();
 }
 
+void CallRunner::selectService(const std::string& name)
+{
+    this->service = name;
+    this->servedByEngine = false;
+    this->tokensPerEvent = 1;
+    auto spec = this->view->configuration->services.find(name);
+    if (spec == this->view->configuration->services.end() || !spec->second.engine)
+        return;
+    this->servedByEngine = true;
+    this->tokensPerEvent = spec->second.engine->tokensPerEvent;
+}
+
+bool CallRunner::routeNames(const Route& found, const std::string& name) const
+{
+    return std::any_of(found.services.begin(), found.services.end(),
+        [&name](const WeightedService& entry) { return entry.service == name; });
+}
+
 // --- Conversation turns
 
 std::optional<AfterCall> CallRunner::prepareTurn(const Route& found)
@@ -167,17 +181,26 @@
 
 // --- Origins of streams
 
-// Finds the software version that began the stream that the caller takes up.
+// Finds the service and the software version that began the stream that the caller takes up. The request has another id
+// than the one that began the stream, which may stand for another service of the route.
 std::optional<AfterCall> CallRunner::findOrigin(const Route& found)
 {
     if (this->call.resumes.empty())
         return this->refuse(503, "the request doesn't name the stream that it continues", longRetryAfter);
     if (auto refused = this->reserveTokens(found, {}))
         return refused;
-    if (this->origin.revision > 0)
+    bool known = this->origin.revision > 0;
+    bool allowed = this->origin.service.empty() || this->routeNames(found, this->origin.service);
+    if (known && allowed) {
+        if (!this->origin.service.empty())
+            this->selectService(this->origin.service);
         return std::nullopt;
+    }
     this->settleTokens();
-    return this->refuse(503, "the version that began the stream is unknown", longRetryAfter);
+    return this->refuse(503,
+        known ? "the service that began the stream is no longer in the route"
+              : "the version that began the stream is unknown",
+        longRetryAfter);
 }
 
 // Records the version of the server that is about to begin the stream, so that any node knows it once the caller has an
@@ -187,7 +210,7 @@
     bool recorded = this->origin.revision > 0 && this->origin.softwareVersion == server.softwareVersion;
     if (!found.resumable || this->versionIsFixed() || recorded)
         return AttemptOutcome::TryNextServer;
-    StreamOrigin next { server.softwareVersion, this->origin.revision + 1 };
+    StreamOrigin next { server.softwareVersion, this->origin.revision + 1, server.service };
     if (this->mayHaveRun == 0) {
         this->refusal = this->reserveTokens(found, next);
         return this->refusal ? AttemptOutcome::Refused : AttemptOutcome::TryNextServer;
@@ -306,7 +329,8 @@
     if (this->call.lastEventId)
         line.field("resumes", this->call.resumes)
             .field("after", *this->call.lastEventId)
-            .field("originVersion", this->origin.softwareVersion);
+            .field("originVersion", this->origin.softwareVersion)
+            .field("originService", this->origin.service);
     if (!this->lastVersion.empty())
         line.field("serverVersion", this->lastVersion);
     line.field("server", this->lastServer)
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -59,7 +59,9 @@
     };
 
     AfterCall runRouted(const Route& route);
-    AttemptOutcome runAttempts(const Route& route, const std::string& service);
+    void selectService(const std::string& name);
+    bool routeNames(const Route& route, const std::string& name) const;
+    AttemptOutcome runAttempts(const Route& route);
     std::optional<ServerEntry> chooseServer(const ChoiceRequest& request, const std::vector<ServerEntry>& servers);
     std::set<std::string> serversToSkip(const std::vector<ServerEntry>& servers);
     bool obtainPermit(const ServerEntry& server);
@@ -108,6 +110,7 @@
     Call call;
     TimePoint deadline;
     const Route* route = nullptr;
+    std::string service; // of the route's services, the one that this call goes to
     std::optional<AfterCall> refusal; // after AttemptOutcome::Refused
     bool closeAfterCall = false; // so that the caller's next call can reach another node
     std::string conversationGroup; // of the preceding turns
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -41,7 +41,7 @@
 
 // --- Attempts
 
-CallRunner::AttemptOutcome CallRunner::runAttempts(const Route& found, const std::string& service)
+CallRunner::AttemptOutcome CallRunner::runAttempts(const Route& found)
 {
     ChoiceRequest request;
     request.engine = this->servedByEngine;
@@ -61,7 +61,7 @@
         }
         // Read anew for each attempt: a server may have left, or come back with another version, since the last one.
         auto current = this->parts.directory.view();
-        std::optional<ServerEntry> chosen = this->chooseServer(request, current->serversOf(service));
+        std::optional<ServerEntry> chosen = this->chooseServer(request, current->serversOf(this->service));
         if (chosen)
             outcome = this->runAttemptIfPermitted(found, *chosen);
         else if (!this->waitForPermit())
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -281,9 +281,12 @@
         GatewayConfiguration result;
         result.version = 1;
         result.routes = { route("/safe/", CallKind::Safe, 2), route("/unsafe/", CallKind::Unsafe, 2),
-            route("/stream/", CallKind::Streaming, 2), route("/turn/", CallKind::Streaming, 2) };
+            route("/stream/", CallKind::Streaming, 2), route("/turn/", CallKind::Streaming, 2),
+            route("/split/", CallKind::Streaming, 2) };
         result.routes[2].resumable = true;
         result.routes[3].storesTurns = true;
+        result.routes[4].resumable = true;
+        result.routes[4].services = { { "s", 1 }, { "s2", 1 }, { "s3", 1 } };
         ServiceSpec service;
         service.name = "s";
         service.engine = EngineTraits {};
--- a/lovagecross/gateway/StreamVersionTest.cpp
+++ b/lovagecross/gateway/StreamVersionTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(serverThatCameBackWithAnotherVersionDoesNotContinue);
     CPPUNIT_TEST(streamIsNotContinuedByAnOldList);
     CPPUNIT_TEST(laterAttemptDoesNotReachAServerThatHasLeftSince);
+    CPPUNIT_TEST(streamOfASplitRouteIsTakenUpAtItsService);
     CPPUNIT_TEST_SUITE_END();
 
     std::uint64_t revision = 1000;
@@ -196,6 +197,29 @@
         CPPUNIT_ASSERT_EQUAL(1, this->servers[0]->requests());
         CPPUNIT_ASSERT_EQUAL(0, this->servers[1]->requests());
     }
+
+    // Guards against a stream that is taken up at another service of a split route than the one that began it: that
+    // service has no server of the version, or writes other data under the same version name.
+    void streamOfASplitRouteIsTakenUpAtItsService()
+    {
+        const std::string fields = "Program: p\r\nBudget: 1000\r\nMax: 40\r\n";
+        for (const char* service : { "s", "s2", "s3" }) {
+            this->addServer([this](const ScriptedRequest& request, ScriptedConnection& connection) {
+                return writesUpTo(request.header("Last-Event-Id").empty() ? 3 : 6)(request, connection);
+            });
+            this->entries.back().service = service;
+            this->entries.back().softwareVersion = "v1";
+        }
+        this->publishServers();
+        for (int i = 0; i < 12; ++i) {
+            std::string id = "r" + std::to_string(i);
+            std::string begun = this->sendRequest(post("/split/", id, "x", fields));
+            std::string server = begun.substr(begun.find("Signed: "), std::string("Signed: server1").size());
+            std::string again = this->sendRequest(
+                post("/split/", id + "-again", "x", fields + "Resumes: " + id + "\r\nLast-Event-Id: 3\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(again, contains(again, server) && contains(again, "data: e6\n"));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamVersionTest);
--- a/lovagecross/gateway/Turns.h
+++ b/lovagecross/gateway/Turns.h
@@ -59,11 +59,12 @@
     Unavailable,
 };
 
-// The software version of the servers that a resumable stream may come from. It is recorded before the first event
-// reaches the caller, and replaced by a higher revision while there is no event.
+// The service and the software version of the servers that a resumable stream may come from. It is recorded before the
+// first event reaches the caller, and replaced by a higher revision while there is no event.
 struct StreamOrigin {
     std::string softwareVersion; // empty for servers without a version, which count as one version
     std::uint32_t revision = 0; // 0 if nothing is recorded
+    std::string service {}; // of those servers; empty in records of earlier versions
 
     bool operator==(const StreamOrigin&) const = default;
 };
--- a/lovagecross/records/RecordMessages.cpp
+++ b/lovagecross/records/RecordMessages.cpp
@@ -32,12 +32,13 @@
     out->set_expires_unix_millis(reservation.expiresUnixMillis);
     out->set_stream_version(reservation.origin.softwareVersion);
     out->set_stream_revision(reservation.origin.revision);
+    out->set_stream_service(reservation.origin.service);
 }
 
 Reservation read(const proto::Reservation& in)
 {
     return { in.program(), in.request_id(), in.tokens(), in.settled(), in.expires_unix_millis(),
-        { in.stream_version(), in.stream_revision() } };
+        { in.stream_version(), in.stream_revision(), in.stream_service() } };
 }
 
 void writeMembers(
