Lint, and a test that a turn costs no more in a long conversation

No behaviour changes. turnCostsNoMoreInALongConversation: three store messages and no read for each of 1,001 turns.

--- a/lovagecross/gateway/StreamVersionTest.cpp
+++ b/lovagecross/gateway/StreamVersionTest.cpp
@@ -204,7 +204,7 @@
     {
         const std::string fields = "Program: p\r\nBudget: 1000\r\nMax: 40\r\n";
         for (const char* service : { "s", "s2", "s3" }) {
-            this->addServer([this](const ScriptedRequest& request, ScriptedConnection& connection) {
+            this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
                 return writesUpTo(request.header("Last-Event-Id").empty() ? 3 : 6)(request, connection);
             });
             this->entries.back().service = service;
@@ -215,8 +215,9 @@
             std::string id = "r" + std::to_string(i);
             std::string begun = this->sendRequest(post("/split/", id, "x", fields));
             std::string server = begun.substr(begun.find("Signed: "), std::string("Signed: server1").size());
-            std::string again = this->sendRequest(
-                post("/split/", id + "-again", "x", fields + "Resumes: " + id + "\r\nLast-Event-Id: 3\r\n"));
+            std::string takeUpFields = fields;
+            takeUpFields.append("Resumes: ").append(id).append("\r\nLast-Event-Id: 3\r\n");
+            std::string again = this->sendRequest(post("/split/", id + "-again", "x", takeUpFields));
             CPPUNIT_ASSERT_MESSAGE(again, contains(again, server) && contains(again, "data: e6\n"));
         }
     }
--- a/lovagecross/records/RecordExpiryTest.cpp
+++ b/lovagecross/records/RecordExpiryTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(nothingExpiresWithoutAMajority);
     CPPUNIT_TEST(reservationsExpireOnAllReplicasOrNone);
     CPPUNIT_TEST(everythingGoesAfterTheLastTurn);
+    CPPUNIT_TEST(turnCostsNoMoreInALongConversation);
     CPPUNIT_TEST(longConversationIsReadWhole);
     CPPUNIT_TEST(conversationOverTheLimitIsRefused);
     CPPUNIT_TEST_SUITE_END();
@@ -248,6 +249,26 @@
         }
     }
 
+    // Guards against a turn whose messages grow with the number of turns that it continues.
+    void turnCostsNoMoreInALongConversation()
+    {
+        std::string previous;
+        for (int i = 1; i <= 1001; ++i) {
+            std::string id = "t" + std::to_string(i);
+            int storedBefore = this->network.requestsOfClient<StoreTurnRequest>();
+            int readBefore = this->network.requestsOfClient<ReadChainRequest>();
+            if (!previous.empty())
+                CPPUNIT_ASSERT(this->client->readConversation(previous, "program", this->defaultDeadline()).status
+                    == ConversationStatus::Found);
+            CPPUNIT_ASSERT(this->client->keep(
+                { id, previous, "program", "in", "out", retention, "program" }, this->defaultDeadline()));
+            CPPUNIT_ASSERT_EQUAL(3, this->network.requestsOfClient<StoreTurnRequest>() - storedBefore);
+            CPPUNIT_ASSERT_EQUAL(0, this->network.requestsOfClient<ReadChainRequest>() - readBefore);
+            CPPUNIT_ASSERT_EQUAL(0, this->network.requestsOfClient<ConfirmExpiryRequest>());
+            previous = id;
+        }
+    }
+
     // Guards against a long conversation that reaches a server without its first turns.
     void longConversationIsReadWhole()
     {
--- a/lovagecross/records/ReplicaState.h
+++ b/lovagecross/records/ReplicaState.h
@@ -26,13 +26,13 @@
 
 #include "lovagecross/records/Roster.h"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace lovagecross {
@@ -128,7 +128,10 @@
         std::string node;
         std::uint64_t disk = 0;
 
-        auto operator<=>(const DiskId&) const = default;
+        bool operator<(const DiskId& other) const
+        {
+            return std::tie(this->node, this->disk) < std::tie(other.node, other.disk);
+        }
     };
     // How the records of a member must have been fetched for it to count.
     enum class Reading {
