--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -186,7 +186,7 @@
     MemberFailureDetector memberWatch;
     PlatformRecords platform;
     std::optional<TimePoint> sourcesMissingSince;
-    std::vector<std::string> unloggedEntries; // fetched records that could not be written to the log yet
+    std::vector<std::string> unloggedEntries; // fetched records that are not in the log yet
     std::map<std::string, TimePoint> silentSince; // members that don't answer while this node leaves, by name
     std::vector<std::string> drainedTurnIds; // turns that are on enough disks but not yet removed from the platform
 
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -477,8 +477,7 @@
     for (const RosterMember& member : roster.members) {
         auto adopted = this->sendRequest(member.address, AdoptRequest { roster }, inspectTimeout);
         if (adopted && adopted->roster && adopted->roster->epoch > roster.epoch) {
-            this->adopt(
-                *adopted->roster, false); // another node has joined or left since; the next call asks its members
+            this->adopt(*adopted->roster, false); // the next call asks its members
             return false;
         }
         auto state = this->sendRequest(member.address, InspectRequest {}, inspectTimeout);
