Each node bounds the age of its configuration, counted from the platform's read over each hop

Cause: the configuration had no age. A node counted a publisher as up to date by its registry read alone, and read nothing itself while the publisher's long poll for the configuration hung for up to 3.7 s. Class of fault: the age of one belief stands in for that of another.

Change: a directory knows when its configuration was last confirmed; a publisher states the age of both parts, the time on the way is added, and one whose age exceeds the bound is passed over. All intervals follow from one bound (DirectoryTimes). A configuration whose text can't be read is read again.

--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -184,6 +184,9 @@
     out->set_registry_age_millis(update.registryAgeMillis);
     out->set_registry_revision(update.registryRevision);
     out->set_has_servers(update.hasServers);
+    if (update.configurationAgeMillis)
+        out->set_configuration_age_millis(*update.configurationAgeMillis);
+    out->set_configuration_version(update.configurationVersion);
     out->set_configuration_document(update.configurationDocument);
     write(update.limits, out->mutable_limits());
     for (const DirectoryServer& server : update.servers) {
@@ -206,6 +209,9 @@
     update.registryAgeMillis = in.registry_age_millis();
     update.registryRevision = in.registry_revision();
     update.hasServers = in.has_servers();
+    if (in.has_configuration_age_millis())
+        update.configurationAgeMillis = in.configuration_age_millis();
+    update.configurationVersion = in.configuration_version();
     update.configurationDocument = in.configuration_document();
     for (const proto::DirectoryServer& entry : in.servers()) {
         if (!isAddressText(entry.address()))
@@ -213,7 +219,8 @@
         update.servers.push_back({ entry.id(), entry.service(), entry.address(), entry.data_centre(), entry.slots(),
             entry.draining(), entry.cold_millis(), entry.started_unix_millis(), entry.software_version() });
     }
-    return update.registryAgeMillis >= 0 && read(in.limits(), update.limits);
+    return update.registryAgeMillis >= 0 && update.configurationAgeMillis.value_or(0) >= 0
+        && read(in.limits(), update.limits);
 }
 
 // One overload for each type of request and control message.
--- a/lovagecross/config/NodeSettings.cpp
+++ b/lovagecross/config/NodeSettings.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t maxLosses = 10;
 constexpr std::int64_t minGraceMillis = 1000;
 constexpr std::int64_t maxGraceMillis = 10 * 60 * 1000;
+constexpr std::int64_t minInForceMillis = 500;
+constexpr std::int64_t maxInForceMillis = 60 * 1000;
 
 bool isUrlPath(std::string_view text)
 {
@@ -44,6 +46,8 @@
     visit.integer("lossMachines", settings.lossMachines, { 0, maxLosses });
     visit.integer("lossDataCentres", settings.lossDataCentres, { 0, maxLosses });
     visit.integer("graceMillis", settings.graceMillis, { minGraceMillis, maxGraceMillis });
+    visit.integer("configurationMillis", settings.configurationMillis, { minInForceMillis, maxInForceMillis });
+    visit.integer("serverDrainMillis", settings.serverDrainMillis, { minInForceMillis, maxInForceMillis });
     visit.enumeration("logLevel", settings.logLevel, logLevelNames);
 }
 
--- a/lovagecross/config/NodeSettings.h
+++ b/lovagecross/config/NodeSettings.h
@@ -46,6 +46,10 @@
     std::uint32_t lossMachines = 1; // number of record nodes that may fail at the same time
     std::uint32_t lossDataCentres = 1;
     std::uint64_t graceMillis = 8000; // from SIGTERM until the process is killed
+    // From the platform's acknowledgement of a new configuration, or of the end of a server, until every node must act
+    // on it.
+    std::uint64_t configurationMillis = 2000;
+    std::uint64_t serverDrainMillis = 2000;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -43,9 +43,6 @@
 // the record nodes that read for all this time to become reachable before it reads the platform itself.
 constexpr Duration firstStartReadDelay = std::chrono::seconds(2);
 constexpr Duration restartReadDelay = milliseconds(400);
-// A record node that reads the registry from the platform asks the other record nodes once its copy is older than this.
-constexpr Duration maxOwnRegistryAge = milliseconds(900);
-constexpr Duration registryAgeCheckInterval = milliseconds(300);
 // A fleet has a connection from each entry node to each record node, so idle ones are checked rarely; a connection that
 // goes silent while it is in use is noticed sooner.
 constexpr Duration peerHeartbeatInterval = std::chrono::seconds(2);
@@ -59,6 +56,11 @@
 constexpr std::size_t maxConnectionLimit = 2000;
 constexpr std::size_t cacheMemoryDivisor = 8; // the turn cache gets an eighth of the memory setting
 
+DirectoryTimes directoryTimesOf(const NodeSettings& settings)
+{
+    return directoryTimesFor(milliseconds(std::min(settings.configurationMillis, settings.serverDrainMillis)));
+}
+
 Tolerance toleranceOf(const NodeSettings& settings)
 {
     return { settings.lossMachines, settings.lossDataCentres };
@@ -218,9 +220,10 @@
         , parts { this->base.clock, this->base.directory, this->serverBook, this->pool, this->codec, this->records,
             this->records, this->permits, GatewayCounters(this->base.counters) }
         , gateway({ settings.callerAddress, maxConnections(settings) }, this->parts)
-        , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock,
+        , follower({ directoryTimesOf(settings) }, this->base.peers, this->base.directory,
+              platform::decodeConfigurationDocument, this->base.clock,
               [this](const std::vector<RateLimitNotice>& limits) { this->permits.learn(limits); })
-        , directoryFeed(this->base.api, this->base.directory, this->base.clock,
+        , directoryFeed(this->base.api, this->base.directory, this->base.clock, directoryTimesOf(settings),
               [this] { return !this->follower.upToDate() && this->base.mayReadForItself(); })
         , messageHandler(
               this->base.directory, [this](const RecordRequest& request) { return this->handleRecordRequest(request); })
@@ -367,9 +370,10 @@
     explicit StorageNode(const NodeSettings& settings)
         : base(settings)
         , records(nodeSettings(settings), this->base.recordParts)
-        , follower({}, this->base.peers, this->base.directory, platform::decodeConfigurationDocument, this->base.clock)
-        , directoryFeed(this->base.api, this->base.directory, this->base.clock,
-              [this] { return this->isPublisher() || (!this->follower.upToDate() && this->base.mayReadForItself()); })
+        , follower(this->followerSettings(), this->base.peers, this->base.directory,
+              platform::decodeConfigurationDocument, this->base.clock)
+        , directoryFeed(this->base.api, this->base.directory, this->base.clock, directoryTimesOf(settings),
+              [this] { return this->mustReadPlatform(); })
         , retirementFeed(this->base.api, this->records, settings.node)
         , issuer(this->base.clock, this->base.peers, this->slicePlacement(), this->base.counters)
         , messageHandler(
@@ -386,7 +390,7 @@
             return problem;
         this->records.start();
         this->directoryFeed.start();
-        this->steps.add([this] { return this->updateDirectory(); });
+        this->steps.add([this] { return this->follower.step(this->publishers()); });
         this->retirementFeed.start();
         if (!this->base.settings.metricsAddress.empty())
             this->metricsListener = std::make_unique<StatusListener>(
@@ -439,22 +443,19 @@
         return isIssuer ? issuers.size() : 0;
     }
 
-    // Returns whether this node reads the platform for all nodes of its data centre.
-    bool isPublisher() const
+    DirectoryFollowerSettings followerSettings() const
     {
-        std::vector<std::string> all = this->publishers();
-        return !all.empty() && all.front() == this->base.settings.advertisedAddress;
+        DirectoryFollowerSettings follower { directoryTimesOf(this->base.settings) };
+        follower.ownAddress = this->base.settings.advertisedAddress;
+        return follower;
     }
 
-    Duration updateDirectory()
+    // Whether this node reads the platform for all nodes of its data centre, or for itself.
+    bool mustReadPlatform() const
     {
-        // A record node whose own platform reads fail gets the configuration and the registry from the others.
-        bool stale = this->base.directory.registryAge() > maxOwnRegistryAge;
-        if (this->isPublisher() && !stale)
-            return registryAgeCheckInterval;
-        std::vector<std::string> others = this->publishers();
-        std::erase(others, this->base.settings.advertisedAddress);
-        return this->follower.step(others);
+        if (this->follower.isFirst(this->publishers()))
+            return true;
+        return !this->follower.upToDate() && this->base.mayReadForItself();
     }
 
     NodeBase base;
--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -55,13 +55,20 @@
     return true;
 }
 
-void Directory::replaceServers(std::vector<ServerEntry> list, std::uint64_t newRevision)
+void Directory::confirmConfiguration(std::uint64_t version, Duration age)
+{
+    std::lock_guard lock(this->mutex);
+    if (version >= (this->configuration ? this->configuration->version : 0))
+        this->advance(this->configurationReadAt, age);
+}
+
+void Directory::replaceServers(std::vector<ServerEntry> list, std::uint64_t newRevision, Duration age)
 {
     std::unique_lock lock(this->mutex);
     TimePoint now = this->clock.now();
     if (!this->acceptRevision(newRevision))
         return;
-    this->registryReached(now);
+    this->registryReached(now, age);
     std::set<std::string> listed;
     for (ServerEntry& entry : list) {
         listed.insert(entry.id);
@@ -78,13 +85,13 @@
     this->publish(lock);
 }
 
-void Directory::changeServers(const std::vector<ServerChange>& changes, std::uint64_t newRevision)
+void Directory::changeServers(const std::vector<ServerChange>& changes, std::uint64_t newRevision, Duration age)
 {
     std::unique_lock lock(this->mutex);
     TimePoint now = this->clock.now();
     if (!this->acceptRevision(newRevision))
         return;
-    this->registryReached(now);
+    this->registryReached(now, age);
     for (const ServerChange& change : changes) {
         if (change.entry) {
             this->lapsed.erase(change.id);
@@ -104,7 +111,7 @@
         return;
     this->registryOutage = false;
     this->hasRegistryData = true;
-    this->setLastRead(age);
+    this->advance(this->registryReadAt, age);
     this->servers.clear();
     this->lapsed.clear();
     for (ServerEntry& entry : list)
@@ -118,13 +125,13 @@
     if (!this->acceptRevision(newRevision))
         return;
     this->registryOutage = false;
-    this->setLastRead(age);
+    this->advance(this->registryReadAt, age);
 }
 
 void Directory::registryUnreachable()
 {
     std::lock_guard lock(this->mutex);
-    if (this->hasRegistryData && this->clock.now() - this->lastReadAt > outageAfter)
+    if (this->hasRegistryData && this->registryReadAt.age(this->clock) > outageAfter)
         this->registryOutage = true;
 }
 
@@ -149,16 +156,25 @@
 Duration Directory::registryAge() const
 {
     std::lock_guard lock(this->mutex);
-    if (!this->hasRegistryData)
-        return Duration::max();
-    Duration byWallClock = std::chrono::milliseconds(this->clock.unixMillis() - this->lastReadUnixMillis);
-    return std::max<Duration>(this->clock.now() - this->lastReadAt, byWallClock);
+    return this->registryReadAt.age(this->clock);
+}
+
+Duration Directory::configurationAge() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->configurationReadAt.age(this->clock);
+}
+
+Duration Directory::age() const
+{
+    return std::max(this->registryAge(), this->configurationAge());
 }
 
-void Directory::setLastRead(Duration age)
+// A report that is older than what this node has read itself tells nothing new.
+void Directory::advance(ObservationTime& readAt, Duration age)
 {
-    this->lastReadAt = this->clock.now() - age;
-    this->lastReadUnixMillis = this->clock.unixMillis() - toMillis(age);
+    if (age < readAt.age(this->clock))
+        readAt = ObservationTime::now(this->clock).earlierBy(age);
 }
 
 void Directory::onChange(std::function<void(const DirectoryView&)> newListener)
@@ -167,13 +183,13 @@
     this->listener = std::move(newListener);
 }
 
-void Directory::registryReached(TimePoint now)
+void Directory::registryReached(TimePoint now, Duration age)
 {
     if (this->registryOutage && this->hasRegistryData)
         this->deferRemovalsUntil = now + lapsedGracePeriod;
     this->registryOutage = false;
     this->hasRegistryData = true;
-    this->setLastRead(Duration(0));
+    this->advance(this->registryReadAt, age);
 }
 
 bool Directory::acceptRevision(std::uint64_t newRevision)
--- a/lovagecross/gateway/Directory.h
+++ b/lovagecross/gateway/Directory.h
@@ -3,6 +3,7 @@
 // A node's current configuration and list of backend servers, with their versions and age.
 //
 //     directory.applyConfiguration(configuration);           // ignored unless its version is newer
+//     directory.confirmConfiguration(version, age);          // there was no newer one `age` ago
 //     directory.replaceServers(list, revision);              // a full list
 //     std::shared_ptr<const DirectoryView> view = directory.view();
 //
@@ -12,6 +13,7 @@
 // Thread safety: every member may be called from any thread. A view never changes.
 
 #include "lovagecross/base/Clock.h"
+#include "lovagecross/base/ObservationTime.h"
 #include "lovagecross/gateway/Route.h"
 #include "lovagecross/gateway/ServerEntry.h"
 
@@ -51,9 +53,14 @@
     // Returns false if the version is not higher than the current one.
     bool applyConfiguration(GatewayConfiguration configuration);
 
-    // A list or change with a lower revision than the current one is ignored: it comes from a stale read.
-    void replaceServers(std::vector<ServerEntry> servers, std::uint64_t revision);
-    void changeServers(const std::vector<ServerChange>& changes, std::uint64_t revision);
+    // Records that `version` was the newest configuration `age` ago, read by this node or by another one; 0 if there
+    // was none. Ignored if a newer version is known.
+    void confirmConfiguration(std::uint64_t version, Duration age);
+
+    // A list or change with a lower revision than the current one is ignored: it comes from a stale read. `age` is the
+    // time since the platform was in that state.
+    void replaceServers(std::vector<ServerEntry> servers, std::uint64_t revision, Duration age = Duration(0));
+    void changeServers(const std::vector<ServerChange>& changes, std::uint64_t revision, Duration age = Duration(0));
 
     // Takes over a list that another node read `age` ago. That node has already applied the grace period to removals.
     void replaceServersFromPeer(std::vector<ServerEntry> servers, std::uint64_t newRevision, Duration age);
@@ -68,9 +75,13 @@
     // Removes servers whose grace period has ended. Must be called periodically.
     void removeLapsedServers();
 
-    // Time since the last successful read of the registry. Includes time for which the VM was suspended, which the
-    // monotonic clock may not count.
+    // Time since the last successful read of the registry or of the configuration, by this node or by the one that it
+    // learned from. Duration::max() before the first one.
     Duration registryAge() const;
+    Duration configurationAge() const;
+
+    // The larger one of both.
+    Duration age() const;
 
     // Sets the function that is called after every change, on the thread that made the change.
     void onChange(std::function<void(const DirectoryView&)> newListener);
@@ -79,8 +90,8 @@
     static constexpr Duration lapsedGracePeriod = std::chrono::milliseconds(2200); // live servers return within 2 s
 
 private:
-    void registryReached(TimePoint now);
-    void setLastRead(Duration age);
+    void registryReached(TimePoint now, Duration age);
+    void advance(ObservationTime& readAt, Duration age);
     bool acceptRevision(std::uint64_t newRevision);
     void removeServer(const std::string& id, TimePoint now);
     void publish(std::unique_lock<std::mutex>& lock);
@@ -95,8 +106,8 @@
     std::uint64_t revision = 0;
     bool hasRegistryData = false;
     bool registryOutage = false;
-    TimePoint lastReadAt;
-    std::int64_t lastReadUnixMillis = 0;
+    ObservationTime registryReadAt;
+    ObservationTime configurationReadAt;
     TimePoint deferRemovalsUntil;
     std::function<void(const DirectoryView&)> listener;
 };
--- a/lovagecross/gateway/DirectoryTest.cpp
+++ b/lovagecross/gateway/DirectoryTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(drainingServersGetNoGracePeriod);
     CPPUNIT_TEST(confirmationsByPeersPreventAnOutage);
     CPPUNIT_TEST(staleListsAreIgnored);
+    CPPUNIT_TEST(configurationAgeIsThatOfTheNewestConfirmation);
     CPPUNIT_TEST_SUITE_END();
 
     void olderConfigurationIsIgnored()
@@ -111,6 +112,26 @@
         CPPUNIT_ASSERT(directory.view()->serversOf("tool").empty());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), directory.view()->registryRevision);
     }
+
+    // Guards against a configuration that looks recent because an older version, or an older read, was confirmed.
+    void configurationAgeIsThatOfTheNewestConfirmation()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        CPPUNIT_ASSERT(directory.configurationAge() == Duration::max() && directory.age() == Duration::max());
+        directory.confirmConfiguration(0, Duration(0)); // the platform has none
+        CPPUNIT_ASSERT(directory.configurationAge() == Duration(0));
+        clock.advance(std::chrono::seconds(1));
+        directory.applyConfiguration(configuration(7));
+        CPPUNIT_ASSERT(directory.configurationAge() == std::chrono::seconds(1));
+        directory.confirmConfiguration(5, Duration(0));
+        CPPUNIT_ASSERT(directory.configurationAge() == std::chrono::seconds(1));
+        directory.confirmConfiguration(7, milliseconds(300));
+        CPPUNIT_ASSERT(directory.configurationAge() == milliseconds(300));
+        directory.confirmConfiguration(7, milliseconds(600));
+        CPPUNIT_ASSERT(directory.configurationAge() == milliseconds(300));
+        CPPUNIT_ASSERT(directory.age() == Duration::max()); // the registry was never read
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -184,6 +184,8 @@
     std::uint64_t registryRevision = 0;
     bool hasServers = false; // true: `servers` is the complete list; false: unchanged if `registryKnown`
     std::vector<DirectoryServer> servers;
+    std::optional<std::int64_t> configurationAgeMillis; // as registryAgeMillis; nullopt if it was never read
+    std::uint64_t configurationVersion = 0; // 0 if the answering node has no configuration
     std::string configurationDocument; // in the platform's format; empty unless newer than the requester's
     std::vector<RateLimitNotice> limits; // in force, or ended recently
 };
--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t maxPublishersPerStep = 3;
 constexpr Duration pauseAfterFailure = std::chrono::milliseconds(100);
 constexpr std::int64_t maxMessageMillis = 24 * 3600 * 1000; // of a time in a message, so that none overflows
+constexpr Duration maxLoggedAge = std::chrono::hours(24); // stands for "never read" too
 
 Duration durationOf(std::int64_t millis)
 {
@@ -38,7 +39,7 @@
 
 DirectoryFollower::DirectoryFollower(DirectoryFollowerSettings followerSettings, PeerClient& peerClient,
     Directory& target, ConfigurationDecoder configurationDecoder, const Clock& givenClock, RateLimitSink rateLimitSink)
-    : settings(followerSettings)
+    : settings(std::move(followerSettings))
     , peers(peerClient)
     , directory(target)
     , decode(std::move(configurationDecoder))
@@ -47,8 +48,17 @@
 {
 }
 
-Duration DirectoryFollower::step(const std::vector<std::string>& publishers)
+bool DirectoryFollower::isFirst(const std::vector<std::string>& publishers) const
 {
+    return !this->settings.ownAddress.empty() && !publishers.empty() && publishers.front() == this->settings.ownAddress;
+}
+
+Duration DirectoryFollower::step(std::vector<std::string> publishers)
+{
+    this->logAge();
+    if (this->isFirst(publishers) && this->directory.age() <= this->settings.times.maxAge)
+        return this->settings.times.fetchInterval;
+    std::erase(publishers, this->settings.ownAddress);
     TimePoint start = this->clock.now();
     bool found = false;
     for (std::size_t i = 0; i < std::min(publishers.size(), maxPublishersPerStep) && !found; ++i)
@@ -60,7 +70,8 @@
             .write();
     if (!found)
         return pauseAfterFailure;
-    return std::max<Duration>(this->settings.interval - (this->clock.now() - start), std::chrono::milliseconds(1));
+    Duration elapsed = this->clock.now() - start;
+    return std::max<Duration>(this->settings.times.fetchInterval - elapsed, std::chrono::milliseconds(1));
 }
 
 bool DirectoryFollower::fetchFrom(const std::string& publisher)
@@ -69,17 +80,22 @@
     DirectoryFetch fetch;
     fetch.configurationVersion = view->configuration ? view->configuration->version : 0;
     fetch.serversDigest = view->serversDigest;
-    PeerResult result = this->peers.request(publisher, fetch, this->settings.timeout, {});
+    ObservationTime askedAt = ObservationTime::now(this->clock);
+    PeerResult result = this->peers.request(publisher, fetch, this->settings.times.fetchTimeout, {});
     const auto* update = std::get_if<DirectoryUpdate>(&result.answer);
     if (result.status != PeerStatus::Ok || update == nullptr)
         return false;
-    this->apply(*update);
-    return update->registryKnown && update->registryAgeMillis <= toMillis(this->settings.maxRegistryAge);
+    Duration onTheWay = askedAt.age(this->clock);
+    this->apply(*update, onTheWay);
+    if (!update->registryKnown || !update->configurationAgeMillis)
+        return false;
+    Duration age = durationOf(std::max(update->registryAgeMillis, *update->configurationAgeMillis)) + onTheWay;
+    return age <= this->settings.times.maxAge;
 }
 
-void DirectoryFollower::apply(const DirectoryUpdate& update)
+void DirectoryFollower::apply(const DirectoryUpdate& update, Duration onTheWay)
 {
-    Duration age = durationOf(update.registryAgeMillis);
+    Duration age = durationOf(update.registryAgeMillis) + onTheWay;
     this->learnLimits(update.limits); // before the servers: a new server's limit is known when it gets its first call
     if (update.registryKnown && update.hasServers) {
         std::vector<ServerEntry> servers;
@@ -96,20 +112,45 @@
     } else if (update.registryKnown) {
         this->directory.confirmServersFromPeer(update.registryRevision, age);
     }
-    if (update.configurationDocument.empty())
+    this->applyConfiguration(update, onTheWay);
+}
+
+void DirectoryFollower::applyConfiguration(const DirectoryUpdate& update, Duration onTheWay)
+{
+    if (!update.configurationAgeMillis)
         return;
-    auto configuration = this->decode(update.configurationDocument);
-    if (!configuration)
+    Duration age = durationOf(*update.configurationAgeMillis) + onTheWay;
+    if (!update.configurationDocument.empty()) {
+        auto configuration = this->decode(update.configurationDocument);
+        if (!configuration)
+            return;
+        std::uint64_t version = configuration->version;
+        std::size_t routes = configuration->routes.size();
+        if (this->directory.applyConfiguration(std::move(*configuration)))
+            LogLine(LogLevel::Info, "configuration")
+                .field("version", version)
+                .field("routes", routes)
+                .field("from", "publisher")
+                .field("ageMs", toMillis(age))
+                .field("inForce", true)
+                .write();
+    }
+    this->directory.confirmConfiguration(update.configurationVersion, age);
+}
+
+// Logs when what this node knows becomes older than it would accept from a publisher, and when it no longer is.
+void DirectoryFollower::logAge()
+{
+    Duration registryAge = this->directory.registryAge();
+    Duration configurationAge = this->directory.configurationAge();
+    bool nowOutdated = std::max(registryAge, configurationAge) > this->settings.times.maxAge;
+    if (nowOutdated == this->outdated)
         return;
-    std::uint64_t version = configuration->version;
-    std::size_t routes = configuration->routes.size();
-    if (this->directory.applyConfiguration(std::move(*configuration)))
-        LogLine(LogLevel::Info, "configuration")
-            .field("version", version)
-            .field("routes", routes)
-            .field("from", "publisher")
-            .field("inForce", true)
-            .write();
+    this->outdated = nowOutdated;
+    LogLine(LogLevel::Info, nowOutdated ? "directory_outdated" : "directory_recent")
+        .field("registryAgeMs", toMillis(std::min<Duration>(registryAge, maxLoggedAge)))
+        .field("configurationAgeMs", toMillis(std::min<Duration>(configurationAge, maxLoggedAge)))
+        .write();
 }
 
 } // namespace lovagecross
--- a/lovagecross/sharing/DirectoryFollower.h
+++ b/lovagecross/sharing/DirectoryFollower.h
@@ -1,9 +1,12 @@
 #pragma once
 
-// Keeps a node's directory up to date from publishers, nodes that read the registry themselves. The number of calls to
+// Keeps a node's directory up to date from publishers, nodes that read the platform themselves. The number of calls to
 // the platform then doesn't grow with the number of entry nodes, and a node whose calls the platform rejects still
 // receives changes.
 //
+// Each answer states how old the publisher's configuration and its server list are, counted from the read of the
+// platform, whichever node made it. A publisher counts as up to date only if both are recent.
+//
 //     DirectoryFollower follower(settings, peers, directory, decode, clock);
 //     Duration pause = follower.step(publishers);
 //     if (!follower.upToDate()) ... read the platform directly ...
@@ -13,6 +16,7 @@
 #include "lovagecross/base/Clock.h"
 #include "lovagecross/gateway/Directory.h"
 #include "lovagecross/ports/Peer.h"
+#include "lovagecross/sharing/DirectoryTimes.h"
 
 #include <atomic>
 #include <functional>
@@ -29,9 +33,8 @@
 using RateLimitSink = std::function<void(const std::vector<RateLimitNotice>& limits)>;
 
 struct DirectoryFollowerSettings {
-    Duration interval = std::chrono::milliseconds(500);
-    Duration timeout = std::chrono::milliseconds(200);
-    Duration maxRegistryAge = std::chrono::milliseconds(1200); // if the answer is older, the next publisher is asked
+    DirectoryTimes times;
+    std::string ownAddress {}; // of a node that is a publisher itself
 };
 
 class DirectoryFollower {
@@ -41,15 +44,21 @@
         ConfigurationDecoder configurationDecoder, const Clock& givenClock,
         RateLimitSink rateLimitSink = [](const std::vector<RateLimitNotice>&) {});
 
-    // Asks the first publishers in order until one returns up-to-date data. Returns the delay until the next step.
-    Duration step(const std::vector<std::string>& publishers);
+    // Asks the first publishers in order until one returns up-to-date data. The first publisher of all asks others only
+    // while its own reads fail. Returns the delay until the next step.
+    Duration step(std::vector<std::string> publishers);
 
-    // Whether the last step found a publisher with a recent registry read.
+    // Whether the last step found a publisher that was up to date.
     bool upToDate() const { return this->lastStepSucceeded; }
 
+    // Whether this node is the one that reads the platform for the others.
+    bool isFirst(const std::vector<std::string>& publishers) const;
+
 private:
     bool fetchFrom(const std::string& publisher);
-    void apply(const DirectoryUpdate& update);
+    void apply(const DirectoryUpdate& update, Duration onTheWay);
+    void applyConfiguration(const DirectoryUpdate& update, Duration onTheWay);
+    void logAge();
 
     const DirectoryFollowerSettings settings;
     PeerClient& peers;
@@ -58,6 +67,7 @@
     const Clock& clock;
     const RateLimitSink learnLimits;
     std::atomic<bool> lastStepSucceeded { false };
+    bool outdated = false; // as last logged
 };
 
 } // namespace lovagecross
--- a/lovagecross/sharing/DirectoryFollowerTest.cpp
+++ b/lovagecross/sharing/DirectoryFollowerTest.cpp
@@ -17,9 +17,15 @@
 // A peer client that reaches the publishers in `publishers`; other addresses don't respond.
 class PublisherPeers final : public PeerClient {
 public:
+    explicit PublisherPeers(ManualClock& givenClock)
+        : clock(givenClock)
+    {
+    }
+
     PeerResult request(const std::string& address, const PeerRequest& request, Duration, const ChunkSink&) override
     {
         ++this->requestCount;
+        this->clock.advance(this->transferTime);
         auto found = this->publishers.find(address);
         if (found == this->publishers.end())
             return { PeerStatus::NoAnswer, {} };
@@ -34,7 +40,11 @@
     void failForwardsTo(const std::string&) override { }
 
     std::map<std::string, const Directory*> publishers;
+    Duration transferTime { 0 };
     int requestCount = 0;
+
+private:
+    ManualClock& clock;
 };
 
 GatewayConfiguration configuration(std::uint64_t version)
@@ -61,14 +71,30 @@
     CPPUNIT_TEST(olderDataIsIgnored);
     CPPUNIT_TEST(listsThatDifferAtTheSameRevisionAreApplied);
     CPPUNIT_TEST(oddEntriesOfAPublisherAreSkipped);
+    CPPUNIT_TEST(publisherWithAnOldConfigurationIsSkipped);
+    CPPUNIT_TEST(ageIsCountedOverEachHop);
+    CPPUNIT_TEST(timeOnTheWayCounts);
+    CPPUNIT_TEST(refusedDocumentConfirmsNothing);
+    CPPUNIT_TEST(firstPublisherAsksOthersWhileItsReadsFail);
+    CPPUNIT_TEST(stepsLeaveRoomWithinTheBound);
     CPPUNIT_TEST_SUITE_END();
 
     ManualClock clock;
-    PublisherPeers peers;
+    PublisherPeers peers { this->clock };
 
     DirectoryFollower follow(Directory& directory)
     {
-        return DirectoryFollower({}, this->peers, directory, decode, this->clock);
+        return DirectoryFollower(
+            { directoryTimesFor(std::chrono::seconds(2)) }, this->peers, directory, decode, this->clock);
+    }
+
+    // Reads the whole state of the platform now.
+    static void readAll(
+        Directory& publisher, const std::vector<ServerEntry>& servers, std::uint64_t revision, std::uint64_t version)
+    {
+        publisher.replaceServers(servers, revision);
+        publisher.applyConfiguration(configuration(version));
+        publisher.confirmConfiguration(version, Duration(0));
     }
 
     void changesArriveInOneStep()
@@ -77,8 +103,7 @@
         Directory target(this->clock);
         this->peers.publishers["p"] = &source;
         auto follower = this->follow(target);
-        source.applyConfiguration(configuration(3));
-        source.replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
+        readAll(source, { makeServerEntry("a"), makeServerEntry("b") }, 10, 3);
         follower.step({ "p" });
         CPPUNIT_ASSERT(follower.upToDate());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), target.view()->configuration->version);
@@ -108,9 +133,9 @@
         Directory stale(this->clock);
         Directory fresh(this->clock);
         Directory target(this->clock);
-        stale.replaceServers({ makeServerEntry("a") }, 10);
+        readAll(stale, { makeServerEntry("a") }, 10, 1);
         this->clock.advance(std::chrono::seconds(5));
-        fresh.replaceServers({ makeServerEntry("b") }, 20);
+        readAll(fresh, { makeServerEntry("b") }, 20, 1);
         this->peers.publishers = { { "stale", &stale }, { "fresh", &fresh } };
         auto follower = this->follow(target);
         follower.step({ "stale", "fresh" });
@@ -186,6 +211,110 @@
         }
         CPPUNIT_ASSERT(ids == std::set<std::string>({ "good", "endless" }));
     }
+
+    // Guards against a follower that takes a publisher's recent server list as a sign that its configuration is recent
+    // too, although the publisher's read of the configuration hangs.
+    void publisherWithAnOldConfigurationIsSkipped()
+    {
+        Directory hanging(this->clock);
+        Directory fresh(this->clock);
+        Directory target(this->clock);
+        readAll(hanging, { makeServerEntry("a") }, 10, 4);
+        this->clock.advance(std::chrono::seconds(2));
+        hanging.replaceServers({ makeServerEntry("a") }, 20);
+        readAll(fresh, { makeServerEntry("a") }, 20, 8);
+        this->peers.publishers = { { "hanging", &hanging } };
+        DirectoryFollower follower = this->follow(target);
+        follower.step({ "hanging" });
+        CPPUNIT_ASSERT(!follower.upToDate());
+        this->peers.publishers["fresh"] = &fresh;
+        follower.step({ "hanging", "fresh" });
+        CPPUNIT_ASSERT(follower.upToDate());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), target.view()->configuration->version);
+    }
+
+    // Guards against an age that starts anew at each node which passes the data on.
+    void ageIsCountedOverEachHop()
+    {
+        Directory first(this->clock);
+        Directory second(this->clock);
+        Directory third(this->clock);
+        readAll(first, { makeServerEntry("a") }, 10, 4);
+        this->peers.publishers = { { "first", &first }, { "second", &second } };
+        DirectoryFollower middle = this->follow(second);
+        DirectoryFollower last = this->follow(third);
+        this->clock.advance(milliseconds(500));
+        middle.step({ "first" });
+        this->clock.advance(milliseconds(200));
+        last.step({ "second" });
+        CPPUNIT_ASSERT(middle.upToDate() && last.upToDate());
+        CPPUNIT_ASSERT(third.configurationAge() == milliseconds(700) && third.registryAge() == milliseconds(700));
+        this->clock.advance(milliseconds(200));
+        last.step({ "second" });
+        CPPUNIT_ASSERT(!last.upToDate());
+    }
+
+    // Guards against an answer that was under way for long, or lay unread while the VM was paused, and counts as new.
+    void timeOnTheWayCounts()
+    {
+        Directory source(this->clock);
+        Directory target(this->clock);
+        readAll(source, { makeServerEntry("a") }, 10, 4);
+        this->peers.publishers["p"] = &source;
+        this->peers.transferTime = milliseconds(900);
+        DirectoryFollower follower = this->follow(target);
+        follower.step({ "p" });
+        CPPUNIT_ASSERT(!follower.upToDate());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), target.view()->configuration->version);
+        CPPUNIT_ASSERT(target.age() >= milliseconds(900));
+    }
+
+    // Guards against a version that counts as known although its document could not be decoded.
+    void refusedDocumentConfirmsNothing()
+    {
+        Directory source(this->clock);
+        Directory target(this->clock);
+        readAll(source, { makeServerEntry("a") }, 10, 4);
+        this->peers.publishers["p"] = &source;
+        DirectoryFollower follower(
+            { directoryTimesFor(std::chrono::seconds(2)) }, this->peers, target,
+            [](const std::string&) { return std::optional<GatewayConfiguration>(); }, this->clock);
+        follower.step({ "p" });
+        CPPUNIT_ASSERT(!target.view()->configuration && target.configurationAge() == Duration::max());
+    }
+
+    // Guards against the node that reads for the others and has no way to learn of changes when its reads fail.
+    void firstPublisherAsksOthersWhileItsReadsFail()
+    {
+        Directory own(this->clock);
+        Directory other(this->clock);
+        this->peers.publishers["other"] = &other;
+        DirectoryFollower follower(
+            { directoryTimesFor(std::chrono::seconds(2)), "own" }, this->peers, own, decode, this->clock);
+        readAll(own, { makeServerEntry("a") }, 10, 4);
+        follower.step({ "own", "other" });
+        CPPUNIT_ASSERT_EQUAL(0, this->peers.requestCount);
+        this->clock.advance(std::chrono::seconds(1));
+        own.replaceServers({ makeServerEntry("a") }, 10); // the registry is read, the configuration isn't
+        readAll(other, { makeServerEntry("a") }, 11, 5);
+        follower.step({ "own", "other" });
+        CPPUNIT_ASSERT_EQUAL(1, this->peers.requestCount);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), own.view()->configuration->version);
+    }
+
+    // Guards against intervals and timeouts that each look short and together exceed the time in which a change must be
+    // in force: two thirds of it after one fault, all of it after several.
+    void stepsLeaveRoomWithinTheBound()
+    {
+        for (int millis : { 500, 2000, 3000, 4000 }) {
+            Duration bound = milliseconds(millis);
+            DirectoryTimes times = directoryTimesFor(bound);
+            CPPUNIT_ASSERT(times.readInterval + times.readTimeout <= bound * 2 / 3);
+            CPPUNIT_ASSERT(times.maxAge + times.fetchInterval + times.fetchTimeout <= bound * 2 / 3);
+            CPPUNIT_ASSERT(times.maxAge + times.fetchInterval + times.fetchTimeout * 3 < bound);
+            CPPUNIT_ASSERT(times.readInterval * 3 / 2 < times.maxAge); // a slow read doesn't look like a failed one
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryFollowerTest);
--- a/lovagecross/sharing/DirectoryPublisher.cpp
+++ b/lovagecross/sharing/DirectoryPublisher.cpp
@@ -15,11 +15,17 @@
 DirectoryUpdate answerDirectoryFetch(const Directory& directory, const DirectoryFetch& fetch)
 {
     DirectoryUpdate update;
+    // Read before `view`: a list that is newer than its stated age is harmless, an older one is not.
+    Duration registryAge = directory.registryAge();
+    Duration configurationAge = directory.configurationAge();
     auto view = directory.view();
+    if (configurationAge != Duration::max())
+        update.configurationAgeMillis = toMillis(configurationAge);
+    if (view->configuration)
+        update.configurationVersion = view->configuration->version;
     update.registryKnown = view->registryKnown;
     if (view->registryKnown) {
-        // The age is read separately from `view`. A list that is newer than its stated age is harmless.
-        update.registryAgeMillis = toMillis(directory.registryAge());
+        update.registryAgeMillis = toMillis(registryAge);
         update.registryRevision = view->registryRevision;
         update.hasServers = view->serversDigest != fetch.serversDigest;
     }
