A server that is gone is kept only where the outage that may explain it was noticed

Cause: a node that returns from an outage keeps servers that are missing, because live ones register again within 2 s. It passed them on as listed ones, so that nodes which had followed the registry all the time, and knew that these servers were gone, took them back; a node that was paused or cut off alone applied the same grace. Confirmations by nodes that could not read either ended an outage, so that the grace was skipped where it was due.

Change: a kept server is marked with the time at which it lapses, between nodes too. A node takes a marked server only if it had an outage itself and still has the server.

--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -200,6 +200,8 @@
         entry->set_cold_millis(server.coldMillis);
         entry->set_started_unix_millis(server.startedUnixMillis);
         entry->set_software_version(server.softwareVersion);
+        if (server.lapsesInMillis)
+            entry->set_lapses_in_millis(*server.lapsesInMillis);
     }
 }
 
@@ -216,8 +218,11 @@
     for (const proto::DirectoryServer& entry : in.servers()) {
         if (!isAddressText(entry.address()))
             return false;
-        update.servers.push_back({ entry.id(), entry.service(), entry.address(), entry.data_centre(), entry.slots(),
-            entry.draining(), entry.cold_millis(), entry.started_unix_millis(), entry.software_version() });
+        update.servers.push_back(
+            { entry.id(), entry.service(), entry.address(), entry.data_centre(), entry.slots(), entry.draining(),
+                entry.cold_millis(), entry.started_unix_millis(), entry.software_version(), std::nullopt });
+        if (entry.has_lapses_in_millis())
+            update.servers.back().lapsesInMillis = entry.lapses_in_millis();
     }
     return update.registryAgeMillis >= 0 && update.configurationAgeMillis.value_or(0) >= 0
         && read(in.limits(), update.limits);
--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -16,7 +16,7 @@
     std::string text = entry.id + '|' + entry.service + '|' + entry.address + '|' + entry.dataCentre + '|'
         + std::to_string(entry.slots) + '|' + std::string(serverStateNames.name(entry.state)) + '|'
         + entry.softwareVersion + '|' + std::to_string(entry.startedUnixMillis)
-        + (entry.coldFor > Duration(0) ? "|cold" : "|warm");
+        + (entry.coldFor > Duration(0) ? "|cold" : "|warm") + (entry.lapsesAt ? "|lapsed" : "");
     return stableHash(text, seed);
 }
 
@@ -109,23 +109,42 @@
     std::unique_lock lock(this->mutex);
     if (!this->acceptRevision(newRevision))
         return;
-    this->registryOutage = false;
-    this->hasRegistryData = true;
-    this->advance(this->registryReadAt, age);
-    this->servers.clear();
-    this->lapsed.clear();
-    for (ServerEntry& entry : list)
-        this->servers[entry.id] = std::move(entry);
+    bool knewNothing = !this->hasRegistryData;
+    this->peerReachedRegistry(age);
+    std::map<std::string, ServerEntry> next;
+    std::map<std::string, TimePoint> nextLapsed;
+    for (ServerEntry& entry : list) {
+        bool mayReturn
+            = knewNothing || (this->clock.now() < this->deferRemovalsUntil && this->servers.count(entry.id) > 0);
+        if (entry.lapsesAt && !mayReturn)
+            continue;
+        if (entry.lapsesAt)
+            nextLapsed.emplace(entry.id, *entry.lapsesAt);
+        next[entry.id] = std::move(entry);
+    }
+    this->servers = std::move(next);
+    this->lapsed = std::move(nextLapsed);
     this->publish(lock);
 }
 
 void Directory::confirmServersFromPeer(std::uint64_t newRevision, Duration age)
 {
     std::lock_guard lock(this->mutex);
-    if (!this->acceptRevision(newRevision))
+    if (this->acceptRevision(newRevision))
+        this->peerReachedRegistry(age);
+}
+
+// If this node has heard nothing of the registry for long, servers that the peer's list marks as lapsed may return.
+void Directory::peerReachedRegistry(Duration age)
+{
+    bool outage = this->registryReadAt.age(this->clock) > outageAfter;
+    this->hasRegistryData = true;
+    this->advance(this->registryReadAt, age);
+    if (this->registryReadAt.age(this->clock) > outageAfter)
         return;
     this->registryOutage = false;
-    this->advance(this->registryReadAt, age);
+    if (outage)
+        this->deferRemovalsUntil = this->clock.now() + lapsedGracePeriod;
 }
 
 void Directory::registryUnreachable()
@@ -220,8 +239,11 @@
     view->registryRevision = this->revision;
     view->registryKnown = this->hasRegistryData;
     for (const auto& [id, entry] : this->servers) {
-        view->servers[entry.service].push_back(entry);
-        view->serversDigest = digestOf(entry, view->serversDigest);
+        std::vector<ServerEntry>& list = view->servers[entry.service];
+        list.push_back(entry);
+        auto lapses = this->lapsed.find(id);
+        list.back().lapsesAt = lapses == this->lapsed.end() ? std::nullopt : std::optional<TimePoint>(lapses->second);
+        view->serversDigest = digestOf(list.back(), view->serversDigest);
     }
     this->current = view;
     auto notify = this->listener;
--- a/lovagecross/gateway/Directory.h
+++ b/lovagecross/gateway/Directory.h
@@ -17,6 +17,7 @@
 #include "lovagecross/gateway/Route.h"
 #include "lovagecross/gateway/ServerEntry.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -62,7 +63,9 @@
     void replaceServers(std::vector<ServerEntry> servers, std::uint64_t revision, Duration age = Duration(0));
     void changeServers(const std::vector<ServerChange>& changes, std::uint64_t revision, Duration age = Duration(0));
 
-    // Takes over a list that another node read `age` ago. That node has already applied the grace period to removals.
+    // Takes over a list that another node read `age` ago. That node has already applied the grace period to removals. A
+    // server that it keeps until `lapsesAt` is kept here as well, but only if this node too has had an outage, and has
+    // not removed the server yet.
     void replaceServersFromPeer(std::vector<ServerEntry> servers, std::uint64_t newRevision, Duration age);
 
     // Records that another node read the registry `age` ago and has the same servers.
@@ -83,6 +86,9 @@
     // The larger one of both.
     Duration age() const;
 
+    // Zero once that time has come.
+    Duration timeUntil(TimePoint time) const { return std::max<Duration>(time - this->clock.now(), Duration(0)); }
+
     // Sets the function that is called after every change, on the thread that made the change.
     void onChange(std::function<void(const DirectoryView&)> newListener);
 
@@ -91,6 +97,7 @@
 
 private:
     void registryReached(TimePoint now, Duration age);
+    void peerReachedRegistry(Duration age);
     void advance(ObservationTime& readAt, Duration age);
     bool acceptRevision(std::uint64_t newRevision);
     void removeServer(const std::string& id, TimePoint now);
--- a/lovagecross/gateway/DirectoryTest.cpp
+++ b/lovagecross/gateway/DirectoryTest.cpp
@@ -28,6 +28,9 @@
     CPPUNIT_TEST(drainingServersGetNoGracePeriod);
     CPPUNIT_TEST(confirmationsByPeersPreventAnOutage);
     CPPUNIT_TEST(staleListsAreIgnored);
+    CPPUNIT_TEST(serverKeptByAnotherNodeIsNotRestored);
+    CPPUNIT_TEST(graceOfAnotherNodeNeedsAnOutageHere);
+    CPPUNIT_TEST(confirmationOfAStaleListEndsNoOutage);
     CPPUNIT_TEST(configurationAgeIsThatOfTheNewestConfirmation);
     CPPUNIT_TEST_SUITE_END();
 
@@ -132,6 +135,71 @@
         CPPUNIT_ASSERT(directory.configurationAge() == milliseconds(300));
         CPPUNIT_ASSERT(directory.age() == Duration::max()); // the registry was never read
     }
+
+    // Guards against a node that knows that a server is gone and lists it again, because another node, which could not
+    // read the registry for a while, still keeps the server in its grace period.
+    void serverKeptByAnotherNodeIsNotRestored()
+    {
+        ManualClock clock;
+        Directory cutOff(clock);
+        Directory steady(clock);
+        for (Directory* directory : { &cutOff, &steady })
+            directory->replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
+        clock.advance(std::chrono::seconds(5));
+        steady.changeServers({ { "a", std::nullopt } }, 12);
+        cutOff.registryUnreachable();
+        cutOff.changeServers({ { "a", std::nullopt } }, 13);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), cutOff.view()->serversOf("tool").size());
+        // Else a follower with the same servers would pass the kept one on as a listed one.
+        Directory unaware(clock);
+        unaware.replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
+        CPPUNIT_ASSERT(unaware.view()->serversDigest != cutOff.view()->serversDigest);
+        steady.replaceServersFromPeer(cutOff.view()->serversOf("tool"), 13, Duration(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), steady.view()->serversOf("tool").size());
+        Directory started(clock); // knows no better
+        started.replaceServersFromPeer(cutOff.view()->serversOf("tool"), 13, Duration(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), started.view()->serversOf("tool").size());
+        clock.advance(Directory::lapsedGracePeriod);
+        started.removeLapsedServers(); // without another message
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), started.view()->serversOf("tool").size());
+    }
+
+    // Guards against a server that is gone and gets calls for the grace period of another node, which was paused or cut
+    // off, although this node has followed the registry all the time; and against losing servers that may return after
+    // an outage for both.
+    void graceOfAnotherNodeNeedsAnOutageHere()
+    {
+        for (bool outageHere : { false, true }) {
+            ManualClock clock;
+            Directory paused(clock);
+            Directory here(clock);
+            for (Directory* directory : { &paused, &here })
+                directory->replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
+            for (int i = 0; i < 5; ++i) {
+                clock.advance(std::chrono::seconds(1));
+                if (!outageHere)
+                    here.confirmServersFromPeer(10, Duration(0));
+            }
+            paused.registryUnreachable();
+            paused.changeServers({ { "a", std::nullopt } }, 13);
+            here.replaceServersFromPeer(paused.view()->serversOf("tool"), 13, Duration(0));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(outageHere ? 2 : 1), here.view()->serversOf("tool").size());
+        }
+    }
+
+    // Guards against losing all servers for two seconds when the registry returns, because another node that could not
+    // read it either had just answered.
+    void confirmationOfAStaleListEndsNoOutage()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        directory.replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
+        clock.advance(std::chrono::seconds(5));
+        directory.registryUnreachable();
+        directory.confirmServersFromPeer(10, std::chrono::seconds(5));
+        directory.replaceServers({ makeServerEntry("b") }, 12);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), directory.view()->serversOf("tool").size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
--- a/lovagecross/gateway/ServerEntry.h
+++ b/lovagecross/gateway/ServerEntry.h
@@ -8,6 +8,7 @@
 #include "lovagecross/base/NameTable.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lovagecross {
@@ -32,6 +33,8 @@
     Duration coldFor { 0 }; // remaining warm-up time, in which the server is slow
     std::int64_t startedUnixMillis = 0; // changes if the server restarts under the same id
     std::string softwareVersion; // empty if unknown; streams of two versions don't fit together
+    // Set if the registry has not listed it since an outage: it is removed then, unless it has returned.
+    std::optional<TimePoint> lapsesAt {};
 
     bool operator==(const ServerEntry&) const = default;
 };
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -176,6 +176,7 @@
     std::int64_t coldMillis = 0;
     std::int64_t startedUnixMillis = 0;
     std::string softwareVersion;
+    std::optional<std::int64_t> lapsesInMillis; // set if the registry has not listed it since an outage
 };
 
 struct DirectoryUpdate {
--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -20,7 +20,7 @@
     return std::chrono::milliseconds(std::clamp<std::int64_t>(millis, 0, maxMessageMillis));
 }
 
-ServerEntry fromMessage(const DirectoryServer& message)
+ServerEntry fromMessage(const DirectoryServer& message, TimePoint now)
 {
     ServerEntry entry;
     entry.id = message.id;
@@ -32,6 +32,8 @@
     entry.coldFor = durationOf(message.coldMillis);
     entry.startedUnixMillis = message.startedUnixMillis;
     entry.softwareVersion = message.softwareVersion;
+    if (message.lapsesInMillis)
+        entry.lapsesAt = now + durationOf(*message.lapsesInMillis);
     return entry;
 }
 
@@ -101,7 +103,7 @@
         std::vector<ServerEntry> servers;
         for (const DirectoryServer& server : update.servers) {
             if (isAddress(server.address) && !server.service.empty())
-                servers.push_back(fromMessage(server));
+                servers.push_back(fromMessage(server, this->clock.now()));
             else
                 LogLine(LogLevel::Warning, "server_entry_unusable")
                     .field("server", server.id)
--- a/lovagecross/sharing/DirectoryPublisher.cpp
+++ b/lovagecross/sharing/DirectoryPublisher.cpp
@@ -7,7 +7,8 @@
 DirectoryServer toMessage(const ServerEntry& entry)
 {
     return { entry.id, entry.service, entry.address, entry.dataCentre, entry.slots,
-        entry.state == ServerState::Draining, toMillis(entry.coldFor), entry.startedUnixMillis, entry.softwareVersion };
+        entry.state == ServerState::Draining, toMillis(entry.coldFor), entry.startedUnixMillis, entry.softwareVersion,
+        std::nullopt };
 }
 
 } // namespace
@@ -31,8 +32,11 @@
     }
     if (update.hasServers) {
         for (const auto& [service, servers] : view->servers) {
-            for (const ServerEntry& server : servers)
+            for (const ServerEntry& server : servers) {
                 update.servers.push_back(toMessage(server));
+                if (server.lapsesAt)
+                    update.servers.back().lapsesInMillis = toMillis(directory.timeUntil(*server.lapsesAt));
+            }
         }
     }
     if (view->configuration && view->configuration->version > fetch.configurationVersion)
