No call goes to a server after it has said in an answer that it leaves

Cause: the field was not read. Class of fault: what a server says of itself is known to this node alone and at once, and the list of servers, which is late, was the only source.

Change: the word is decoded in platform/, kept by the directory with the server's lifetime, and shown as the state draining in every view, so that first attempts, retries, take-ups and permits heed it without a check of their own. It is taken from refusals, interim, skipped and broken-off responses, not from another server's answer. A new process under the id is used again. The publishers that the node follows are told; nothing depends on that. When all servers of a service leave, calls are refused before anything is reserved for them. A stop at once was chosen over using the rest of the server's time: calls that wait would reach it late, and the registry's own state draining is heeded at once too.

--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -281,6 +281,14 @@
         write(report.limits, this->out.mutable_limit_report()->mutable_limits());
         this->out.mutable_limit_report()->set_relayed(report.relayed);
     }
+    void operator()(const LeavingReport& report) const
+    {
+        for (const LeavingServer& leaving : report.servers) {
+            proto::LeavingServer* entry = this->out.mutable_leaving_report()->add_servers();
+            entry->set_server(leaving.server);
+            entry->set_started_unix_millis(leaving.startedUnixMillis);
+        }
+    }
     void operator()(const ForwardCancel&) const { this->out.mutable_cancel(); }
     void operator()(const ForwardChunk& chunk) const
     {
@@ -366,6 +374,13 @@
         request = std::move(report);
         return valid;
     }
+    case proto::Envelope::kLeavingReport: {
+        LeavingReport report;
+        for (const proto::LeavingServer& entry : in.leaving_report().servers())
+            report.servers.push_back({ entry.server(), entry.started_unix_millis() });
+        request = std::move(report);
+        return true;
+    }
     default:
         return false;
     }
@@ -581,6 +596,7 @@
         bool operator()(const DirectoryFetch&) const { return std::holds_alternative<DirectoryUpdate>(this->answer); }
         bool operator()(const PermitRequest&) const { return std::holds_alternative<PermitAnswer>(this->answer); }
         bool operator()(const LimitReport&) const { return std::holds_alternative<std::monostate>(this->answer); }
+        bool operator()(const LeavingReport&) const { return std::holds_alternative<std::monostate>(this->answer); }
         bool operator()(const RecordCall&) const { return std::holds_alternative<RecordReply>(this->answer); }
     };
     return std::visit(Matcher { answer }, request);
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -54,6 +54,7 @@
 constexpr std::size_t connectionsPerMegabyte = 6;
 constexpr std::size_t minConnectionLimit = 128;
 constexpr std::size_t maxConnectionLimit = 2000;
+constexpr std::size_t publishersToTell = 3; // of a server that leaves
 constexpr std::size_t cacheMemoryDivisor = 8; // the turn cache gets an eighth of the memory setting
 
 DirectoryTimes directoryTimesOf(const NodeSettings& settings)
@@ -142,7 +143,7 @@
 // Answers requests from other nodes: directory fetches, record requests and, with an issuer, requests for permits.
 class PeerMessageHandler final : public PeerHandler {
 public:
-    PeerMessageHandler(const Directory& ownDirectory, std::function<RecordResponse(const RecordRequest&)> answer,
+    PeerMessageHandler(Directory& ownDirectory, std::function<RecordResponse(const RecordRequest&)> answer,
         PermitIssuer* permitIssuer = nullptr)
         : directory(ownDirectory)
         , respond(std::move(answer))
@@ -161,6 +162,10 @@
                 this->issuer->handle(*report);
             return std::monostate {};
         }
+        if (const auto* report = std::get_if<LeavingReport>(&request)) {
+            this->noteLeavingServers(*report);
+            return std::monostate {};
+        }
         const auto* call = std::get_if<RecordCall>(&request);
         auto message = call != nullptr ? decodeRecordRequest(call->content) : std::nullopt;
         if (!message)
@@ -177,7 +182,19 @@
         return update;
     }
 
-    const Directory& directory;
+    void noteLeavingServers(const LeavingReport& report)
+    {
+        for (const LeavingServer& leaving : report.servers) {
+            if (this->directory.serverLeaves({ leaving.server, leaving.startedUnixMillis }))
+                LogLine(LogLevel::Info, "server_leaves")
+                    .field("server", leaving.server)
+                    .field("started", leaving.startedUnixMillis)
+                    .field("from", "node")
+                    .write();
+        }
+    }
+
+    Directory& directory;
     const std::function<RecordResponse(const RecordRequest&)> respond;
     PermitIssuer* const issuer;
 };
@@ -235,6 +252,7 @@
         if (std::string problem = this->base.peers.start(this->messageHandler); !problem.empty())
             return problem;
         this->base.directory.onChange([this](const DirectoryView& view) { this->onServersChanged(view); });
+        this->parts.reportLeavingServer = [this](const ServerKey& server) { this->reportLeavingServer(server); };
         this->records.start();
         this->directoryFeed.start();
         this->steps.add([this] { return this->follower.step(this->publishers()); });
@@ -300,6 +318,15 @@
         return publishersOf(this->records.roster(), this->base.settings.dataCentre);
     }
 
+    // Tells the publishers that this node follows. Their other followers learn it with the server list.
+    void reportLeavingServer(const ServerKey& server)
+    {
+        std::vector<std::string> addresses = this->publishers();
+        addresses.resize(std::min(addresses.size(), publishersToTell));
+        for (const std::string& address : addresses)
+            this->base.peers.notify(address, LeavingReport { { { server.id, server.startedUnixMillis } } });
+    }
+
     // Returns the issuers of permits for a server, those of the own data centre first.
     std::vector<std::string> issuersOf(const std::string& serverId) const
     {
--- a/lovagecross/gateway/Call.h
+++ b/lovagecross/gateway/Call.h
@@ -55,6 +55,7 @@
     bool notExecuted = false; // the server states that it did not run the request
     std::optional<double> requestsPerSecond; // rate that the server accepts from all nodes together; nullopt: no limit
     bool fromServer = true; // false: another server has its address and answered
+    bool leaving = false; // the server states that it is about to stop and must get no further requests
 };
 
 class CallCodec {
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -23,6 +23,11 @@
 
 constexpr int statusBudgetExhausted = 402;
 
+bool acceptsCalls(const ServerEntry& server)
+{
+    return server.state == ServerState::Ready;
+}
+
 } // namespace
 
 CallRunner::CallRunner(GatewayContext& shared, ByteStream& callerStream, const RequestHead& requestHead,
@@ -57,8 +62,10 @@
 {
     this->selectService(pickService(found, stableHash(this->call.requestId)));
     bool mayChangeService = found.kind == CallKind::Streaming && found.resumable && this->isTakeUp();
-    if (!mayChangeService && this->view->serversOf(this->service).empty())
-        return this->refuse(503, "the service has no server", longRetryAfter);
+    const std::vector<ServerEntry>& servers = this->view->serversOf(this->service);
+    if (!mayChangeService && std::none_of(servers.begin(), servers.end(), acceptsCalls))
+        return this->refuse(503,
+            servers.empty() ? "the service has no server" : "all servers of the service are leaving", longRetryAfter);
     if (found.kind == CallKind::Streaming) {
         if (auto refused = this->prepareTurn(found))
             return *refused;
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -69,6 +69,7 @@
     bool waitForPermit();
     AttemptOutcome runAttemptIfPermitted(const Route& route, const ServerEntry& server);
     AttemptOutcome runAttempt(const Route& route, const ServerEntry& server);
+    void noteLeavingServer(const ServerEntry& server);
     AttemptOutcome handleFailedExchange(const Route& route, ExchangeStatus end);
     AttemptOutcome handleResponse(const Route& route, ServerExchange& exchange);
     AttemptOutcome forwardBufferedResponse(const Route& route, ServerExchange& exchange);
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -186,6 +186,8 @@
         : this->deadline;
     ExchangeStatus end = exchange.start(this->makeRequest(found, server), headBy);
     TimePoint answeredAt = this->parts.clock.now();
+    if (exchange.serverLeaves())
+        this->noteLeavingServer(server);
     if (end == ExchangeStatus::Ok && exchange.remarks().fromServer)
         this->parts.permits.observe(server, exchange.remarks().requestsPerSecond, sentAt);
     AttemptOutcome outcome = AttemptOutcome::TryNextServer;
@@ -222,6 +224,21 @@
     return outcome;
 }
 
+// From now on no attempt of any call goes to the server.
+void CallRunner::noteLeavingServer(const ServerEntry& server)
+{
+    if (!this->parts.directory.serverLeaves(keyOf(server)))
+        return;
+    this->parts.counters.serversLeaving.add();
+    LogLine(LogLevel::Info, "server_leaves")
+        .field("request", this->call.requestId)
+        .field("server", server.id)
+        .field("started", server.startedUnixMillis)
+        .field("registryState", serverStateNames.name(server.state))
+        .write();
+    this->parts.reportLeavingServer(keyOf(server));
+}
+
 CallRunner::AttemptOutcome CallRunner::handleFailedExchange(const Route& found, ExchangeStatus end)
 {
     if (end == ExchangeStatus::CallerLeft)
--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -154,10 +154,31 @@
         this->registryOutage = true;
 }
 
+bool Directory::serverLeaves(const ServerKey& server)
+{
+    std::unique_lock lock(this->mutex);
+    if (this->leaving.size() >= maxLeavingServers || !this->leaving.emplace(server, this->clock.now()).second)
+        return false;
+    if (this->isListed(server))
+        this->publish(lock);
+    return true;
+}
+
+bool Directory::isListed(const ServerKey& server) const
+{
+    auto found = this->servers.find(server.id);
+    return found != this->servers.end() && found->second.startedUnixMillis == server.startedUnixMillis;
+}
+
 void Directory::removeLapsedServers()
 {
     std::unique_lock lock(this->mutex);
     TimePoint now = this->clock.now();
+    for (auto& [server, listedAt] : this->leaving) {
+        if (this->isListed(server))
+            listedAt = now;
+    }
+    std::erase_if(this->leaving, [now](const auto& entry) { return now - entry.second > leavingRetention; });
     bool changed = false;
     for (auto it = this->lapsed.begin(); it != this->lapsed.end();) {
         if (now < it->second) {
@@ -241,6 +262,8 @@
     for (const auto& [id, entry] : this->servers) {
         std::vector<ServerEntry>& list = view->servers[entry.service];
         list.push_back(entry);
+        if (this->leaving.count(keyOf(entry)) > 0)
+            list.back().state = ServerState::Draining;
         auto lapses = this->lapsed.find(id);
         list.back().lapsesAt = lapses == this->lapsed.end() ? std::nullopt : std::optional<TimePoint>(lapses->second);
         view->serversDigest = digestOf(list.back(), view->serversDigest);
--- a/lovagecross/gateway/Directory.h
+++ b/lovagecross/gateway/Directory.h
@@ -10,6 +10,9 @@
 // Registry entries expire ("lapse") without heartbeats, also during a registry outage. Servers that are missing after
 // an outage are therefore kept for `lapsedGracePeriod`, in which live servers register again.
 //
+// A server that says itself that it leaves is listed as draining from then on, whatever the registry says. A new
+// process under its id is a new lifetime, to which this doesn't apply.
+//
 // Thread safety: every member may be called from any thread. A view never changes.
 
 #include "lovagecross/base/Clock.h"
@@ -75,7 +78,11 @@
     // by another one, is older than `outageAfter`, and ends with the next success.
     void registryUnreachable();
 
-    // Removes servers whose grace period has ended. Must be called periodically.
+    // Records that the server has said that it leaves, also if it is not listed now. Returns whether this is news.
+    bool serverLeaves(const ServerKey& server);
+
+    // Removes servers whose grace period has ended, and what is known of servers that are gone for long. Must be called
+    // periodically.
     void removeLapsedServers();
 
     // Time since the last successful read of the registry or of the configuration, by this node or by the one that it
@@ -93,6 +100,9 @@
     void onChange(std::function<void(const DirectoryView&)> newListener);
 
     static constexpr Duration outageAfter = std::chrono::milliseconds(1500);
+    // How long a server that leaves is remembered while it is not listed. Its entry may lapse and return meanwhile.
+    static constexpr Duration leavingRetention = std::chrono::minutes(5);
+    static constexpr std::size_t maxLeavingServers = 10'000; // further ones are not remembered
     static constexpr Duration lapsedGracePeriod = std::chrono::milliseconds(2200); // live servers return within 2 s
 
 private:
@@ -101,6 +111,7 @@
     void advance(ObservationTime& readAt, Duration age);
     bool acceptRevision(std::uint64_t newRevision);
     void removeServer(const std::string& id, TimePoint now);
+    bool isListed(const ServerKey& server) const;
     void publish(std::unique_lock<std::mutex>& lock);
 
     const Clock& clock;
@@ -110,6 +121,7 @@
     std::shared_ptr<const RouteTable> routes;
     std::map<std::string, ServerEntry> servers; // by id
     std::map<std::string, TimePoint> lapsed; // ids missing after an outage, with the time of their removal
+    std::map<ServerKey, TimePoint> leaving; // servers that leave, with the time when they were last listed
     std::uint64_t revision = 0;
     bool hasRegistryData = false;
     bool registryOutage = false;
--- a/lovagecross/gateway/DirectoryTest.cpp
+++ b/lovagecross/gateway/DirectoryTest.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(graceOfAnotherNodeNeedsAnOutageHere);
     CPPUNIT_TEST(confirmationOfAStaleListEndsNoOutage);
     CPPUNIT_TEST(configurationAgeIsThatOfTheNewestConfirmation);
+    CPPUNIT_TEST(serverThatSaysItLeavesStaysDraining);
+    CPPUNIT_TEST(newProcessOfALeavingServerIsUsed);
     CPPUNIT_TEST_SUITE_END();
 
     void olderConfigurationIsIgnored()
@@ -116,6 +118,62 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), directory.view()->registryRevision);
     }
 
+    static ServerState stateOf(const Directory& directory, const std::string& id)
+    {
+        for (const ServerEntry& server : directory.view()->serversOf("tool")) {
+            if (server.id == id)
+                return server.state;
+        }
+        CPPUNIT_FAIL(id + " is not listed");
+        return ServerState::Ready;
+    }
+
+    // Guards against calls to a server that has said that it leaves while the registry still lists it as ready, in a
+    // new list, a change or a list of another node, or after its entry lapsed for a while.
+    void serverThatSaysItLeavesStaysDraining()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        directory.replaceServers({ makeServerEntry("a"), makeServerEntry("b") }, 10);
+        std::uint64_t digest = directory.view()->serversDigest;
+        CPPUNIT_ASSERT(directory.serverLeaves({ "a", 0 }));
+        CPPUNIT_ASSERT(!directory.serverLeaves({ "a", 0 }));
+        CPPUNIT_ASSERT(
+            stateOf(directory, "a") == ServerState::Draining && stateOf(directory, "b") == ServerState::Ready);
+        CPPUNIT_ASSERT(directory.view()->serversDigest != digest); // so that followers get the list
+        directory.changeServers({ { "a", makeServerEntry("a") } }, 11);
+        CPPUNIT_ASSERT(stateOf(directory, "a") == ServerState::Draining);
+        directory.replaceServersFromPeer({ makeServerEntry("a"), makeServerEntry("b") }, 12, milliseconds(1));
+        CPPUNIT_ASSERT(stateOf(directory, "a") == ServerState::Draining);
+        directory.changeServers({ { "a", std::nullopt } }, 13);
+        clock.advance(std::chrono::minutes(2));
+        directory.removeLapsedServers();
+        directory.replaceServers({ makeServerEntry("a") }, 14);
+        CPPUNIT_ASSERT(stateOf(directory, "a") == ServerState::Draining);
+    }
+
+    // Guards against a server that is never used again after it has started anew under the id that it had.
+    void newProcessOfALeavingServerIsUsed()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        ServerEntry first = makeServerEntry("a");
+        first.startedUnixMillis = 1000;
+        ServerEntry second = first;
+        second.startedUnixMillis = 2000;
+        directory.replaceServers({ first }, 10);
+        CPPUNIT_ASSERT(directory.serverLeaves(keyOf(first)));
+        directory.replaceServers({ second }, 11);
+        CPPUNIT_ASSERT(stateOf(directory, "a") == ServerState::Ready);
+        CPPUNIT_ASSERT(!directory.serverLeaves(keyOf(first))); // a late answer of the process before
+        CPPUNIT_ASSERT(stateOf(directory, "a") == ServerState::Ready);
+        ServerEntry third = first;
+        third.startedUnixMillis = 3000;
+        CPPUNIT_ASSERT(directory.serverLeaves(keyOf(third))); // it is listed only after its answer
+        directory.replaceServers({ third }, 12);
+        CPPUNIT_ASSERT(stateOf(directory, "a") == ServerState::Draining);
+    }
+
     // Guards against a configuration that looks recent because an older version, or an older read, was confirmed.
     void configurationAgeIsThatOfTheNewestConfirmation()
     {
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -13,6 +13,7 @@
 #include "lovagecross/gateway/Turns.h"
 
 #include <atomic>
+#include <functional>
 
 namespace lovagecross {
 
@@ -26,6 +27,7 @@
     Counter& callersLeft;
     Counter& sends;
     Counter& streamsResumed;
+    Counter& serversLeaving; // that said so in an answer
     Counter& bodyBytes; // of request bodies that are buffered now
     LatencyHistogram& timeToFirstSend; // from the received request head to the first send to a backend server
     LatencyHistogram& completionDelay; // from the last received event to the end of the response
@@ -45,6 +47,7 @@
     TokenBudgets& budgets;
     ServerPermits& permits;
     GatewayCounters counters;
+    std::function<void(const ServerKey&)> reportLeavingServer = [](const ServerKey&) {}; // to other nodes
     std::atomic<bool> draining { false };
 };
 
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -65,6 +65,7 @@
         metadata.requestId = this->text(headers, "Id");
         metadata.signedByServer = headers.has("Signed");
         metadata.notExecuted = headers.has("Not-Executed");
+        metadata.leaving = headers.has("Leaving");
         if (headers.has("Limit"))
             metadata.requestsPerSecond = std::stod(this->text(headers, "Limit"));
         return metadata;
--- a/lovagecross/gateway/ServerEntry.h
+++ b/lovagecross/gateway/ServerEntry.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace lovagecross {
 
@@ -39,4 +40,20 @@
     bool operator==(const ServerEntry&) const = default;
 };
 
+// One lifetime of a backend server. What is known of it doesn't hold for the next process under the same id.
+struct ServerKey {
+    std::string id;
+    std::int64_t startedUnixMillis = 0;
+
+    bool operator<(const ServerKey& other) const
+    {
+        return std::tie(this->id, this->startedUnixMillis) < std::tie(other.id, other.startedUnixMillis);
+    }
+};
+
+inline ServerKey keyOf(const ServerEntry& server)
+{
+    return { server.id, server.startedUnixMillis };
+}
+
 } // namespace lovagecross
--- a/lovagecross/gateway/ServerExchange.cpp
+++ b/lovagecross/gateway/ServerExchange.cpp
@@ -136,6 +136,7 @@
     interim = parsed->status < 200;
     this->response = std::move(*parsed);
     this->responseRemarks = this->codec.decodeResponseMetadata(this->response.status, this->response.headers);
+    this->leaving = this->leaving || this->responseRemarks.leaving;
     this->decoder.emplace(this->response.framing);
     return ExchangeStatus::Ok;
 }
--- a/lovagecross/gateway/ServerExchange.h
+++ b/lovagecross/gateway/ServerExchange.h
@@ -64,6 +64,10 @@
     const ResponseHead& head() const { return this->response; }
     const ResponseMetadata& remarks() const { return this->responseRemarks; }
 
+    // Whether any response on this connection said that the server leaves: an interim one, one to an earlier request,
+    // or one that broke off.
+    bool serverLeaves() const { return this->leaving; }
+
     // All reads end with TimedOut at their deadline. What has already arrived by then is still read, up to a limit, so
     // that a response is not lost because this process was suspended and bytes without end do not keep it reading.
     //
@@ -101,6 +105,7 @@
     std::size_t bytesAfterDeadline = 0;
     ResponseHead response;
     ResponseMetadata responseRemarks;
+    bool leaving = false;
     std::optional<BodyDecoder> decoder;
 };
 
--- a/lovagecross/limits/PermitClient.cpp
+++ b/lovagecross/limits/PermitClient.cpp
@@ -12,11 +12,6 @@
 
 constexpr Duration minRetryAfter = std::chrono::milliseconds(20);
 
-ServerKey keyOf(const ServerEntry& server)
-{
-    return { server.id, server.startedUnixMillis };
-}
-
 } // namespace
 
 PermitClient::PermitClient(const Clock& givenClock, PeerClient& peerClient, IssuersOf findIssuers, Counters& counters)
--- a/lovagecross/limits/RateLimitTable.h
+++ b/lovagecross/limits/RateLimitTable.h
@@ -14,27 +14,14 @@
 // Thread safety: not synchronized.
 
 #include "lovagecross/base/Clock.h"
+#include "lovagecross/gateway/ServerEntry.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
-#include <string>
-#include <tuple>
 #include <vector>
 
 namespace lovagecross {
 
-// One lifetime of a backend server. A server that restarts under the same id has no limit until it names one.
-struct ServerKey {
-    std::string id;
-    std::int64_t startedUnixMillis = 0;
-
-    bool operator<(const ServerKey& other) const
-    {
-        return std::tie(this->id, this->startedUnixMillis) < std::tie(other.id, other.startedUnixMillis);
-    }
-};
-
 struct RateLimit {
     std::optional<double> perSecond; // requests from all nodes together; nullopt: the server no longer names a limit
     TimePoint observedAt; // when the answer that said so arrived
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -160,6 +160,17 @@
     bool relayed = false;
 };
 
+// One lifetime of a backend server that has said that it leaves.
+struct LeavingServer {
+    std::string server;
+    std::int64_t startedUnixMillis = 0;
+};
+
+// Tells a publisher of the server list which servers leave.
+struct LeavingReport {
+    std::vector<LeavingServer> servers;
+};
+
 // Requests registry changes from a node that reads the registry: everything that differs from the requester's state.
 struct DirectoryFetch {
     std::uint64_t configurationVersion = 0; // 0 if the requester has no configuration
@@ -192,7 +203,7 @@
 };
 
 using PeerRequest = std::variant<PromiseRequest, BridgeBatch, BridgeTrim, BridgeFetch, Gossip, ConfigFetch,
-    ForwardRequest, RecordCall, DirectoryFetch, PermitRequest, LimitReport>;
+    ForwardRequest, RecordCall, DirectoryFetch, PermitRequest, LimitReport, LeavingReport>;
 using PeerAnswer = std::variant<std::monostate, PromiseAnswer, BridgeAnswer, BridgeCopies, Gossip, ConfigDocument,
     ForwardEnd, RecordReply, DirectoryUpdate, PermitAnswer>;
 
--- a/lovagecross/runtime/Node.cpp
+++ b/lovagecross/runtime/Node.cpp
@@ -101,6 +101,7 @@
     PeerAnswer operator()(const DirectoryFetch&) const { return {}; }
     PeerAnswer operator()(const PermitRequest&) const { return {}; }
     PeerAnswer operator()(const LimitReport&) const { return {}; }
+    PeerAnswer operator()(const LeavingReport&) const { return {}; }
 };
 
 } // namespace
