Entry nodes that reach no backend server send their calls through another entry node

Cause: a node found out anew with each call that no server could be reached, and had no other way. A refusal at once is a failed attempt for the caller as well, so only another VM of the system can serve it.

Change: ServerPaths tells from the outcomes of opening connections that a node reaches no server, and probes when nothing is heard. Entry nodes say with each fetch of the directory whether they can run calls for others; record nodes pass the list on. A call is sent whole, over HTTP on an address for nodes, to another entry node, which runs it as its own: it chooses the server, holds the permit, reserves the tokens, records the origin and keeps the turn. Back pressure, the caller's end and broken streams pass over the connection. A call that was passed on is never passed on again. After bytes were sent, only safe calls are tried at another node. The number of calls run for others is limited.

--- a/lovagecross/adapters/PeerCodec.cpp
+++ b/lovagecross/adapters/PeerCodec.cpp
@@ -1,5 +1,7 @@
 #include "lovagecross/adapters/PeerCodec.h"
 
+#include "lovagecross/config/Address.h"
+
 #include "lovagecross/proto/peer.pb.h"
 
 #include <algorithm>
@@ -271,6 +273,9 @@
     {
         this->out.mutable_directory_fetch()->set_configuration_version(fetch.configurationVersion);
         this->out.mutable_directory_fetch()->set_servers_digest(fetch.serversDigest);
+        this->out.mutable_directory_fetch()->set_relay_address(fetch.relayAddress);
+        this->out.mutable_directory_fetch()->set_relay_data_centre(fetch.relayDataCentre);
+        this->out.mutable_directory_fetch()->set_relays(fetch.relays);
     }
     void operator()(const PermitRequest& request) const
     {
@@ -289,6 +294,10 @@
             entry->set_started_unix_millis(leaving.startedUnixMillis);
         }
     }
+    void operator()(const RelayFetch& fetch) const
+    {
+        this->out.mutable_relay_fetch()->set_own_address(fetch.ownAddress);
+    }
     void operator()(const ForwardCancel&) const { this->out.mutable_cancel(); }
     void operator()(const ForwardChunk& chunk) const
     {
@@ -358,8 +367,12 @@
         request = RecordCall { in.record_call().content() };
         return true;
     case proto::Envelope::kDirectoryFetch:
-        request
-            = DirectoryFetch { in.directory_fetch().configuration_version(), in.directory_fetch().servers_digest() };
+        request = DirectoryFetch { in.directory_fetch().configuration_version(), in.directory_fetch().servers_digest(),
+            in.directory_fetch().relay_address(), in.directory_fetch().relay_data_centre(),
+            in.directory_fetch().relays() };
+        return in.directory_fetch().relay_address().empty() || isAddress(in.directory_fetch().relay_address());
+    case proto::Envelope::kRelayFetch:
+        request = RelayFetch { in.relay_fetch().own_address() };
         return true;
     case proto::Envelope::kPermitRequest: {
         PermitRequest permit;
@@ -458,6 +471,15 @@
         this->out.mutable_permit()->set_retry_after_nanos(permit.retryAfter.count());
         write(permit.newest, this->out.mutable_permit()->mutable_newest());
     }
+    void operator()(const RelayList& list) const
+    {
+        for (const RelayNode& node : list.nodes) {
+            proto::RelayNode* entry = this->out.mutable_relay_list()->add_nodes();
+            entry->set_address(node.address);
+            entry->set_data_centre(node.dataCentre);
+        }
+        this->out.mutable_relay_list(); // also if it is empty
+    }
     void operator()(const RecordReply& reply) const { this->out.mutable_record_reply()->set_content(reply.content); }
 };
 
@@ -525,6 +547,16 @@
         answer = std::move(permit);
         return valid;
     }
+    case proto::Answer::kRelayList: {
+        RelayList list;
+        for (const proto::RelayNode& node : in.relay_list().nodes()) {
+            if (!isAddress(node.address()))
+                return false;
+            list.nodes.push_back({ node.address(), node.data_centre() });
+        }
+        answer = std::move(list);
+        return true;
+    }
     case proto::Answer::kDirectoryUpdate: {
         DirectoryUpdate update;
         bool valid = read(in.directory_update(), update);
@@ -597,6 +629,7 @@
         bool operator()(const PermitRequest&) const { return std::holds_alternative<PermitAnswer>(this->answer); }
         bool operator()(const LimitReport&) const { return std::holds_alternative<std::monostate>(this->answer); }
         bool operator()(const LeavingReport&) const { return std::holds_alternative<std::monostate>(this->answer); }
+        bool operator()(const RelayFetch&) const { return std::holds_alternative<RelayList>(this->answer); }
         bool operator()(const RecordCall&) const { return std::holds_alternative<RecordReply>(this->answer); }
     };
     return std::visit(Matcher { answer }, request);
--- a/lovagecross/config/NodeSettings.cpp
+++ b/lovagecross/config/NodeSettings.cpp
@@ -35,6 +35,7 @@
     visit.text("readyAddress", settings.readyAddress, addressRule);
     visit.text("readyPath", settings.readyPath, urlPathRule);
     visit.text("metricsAddress", settings.metricsAddress, addressRule);
+    visit.text("relayAddress", settings.relayAddress, addressRule);
     visit.text("peerAddress", settings.peerAddress, addressRule, Presence::Required);
     visit.text("advertisedAddress", settings.advertisedAddress, addressRule);
     visit.text("platformAddress", settings.platformAddress, addressRule, Presence::Required);
--- a/lovagecross/config/NodeSettings.h
+++ b/lovagecross/config/NodeSettings.h
@@ -35,6 +35,7 @@
     std::string readyAddress; // IP:port of the readiness endpoint; required for an entry node
     std::string readyPath; // readiness path: answers 200 while the node accepts calls
     std::string metricsAddress; // IP:port of the metrics endpoint; empty: disabled
+    std::string relayAddress; // IP:port on which an entry node takes calls of other entry nodes; empty: nowhere
     std::string peerAddress; // IP:port on which the node listens for other nodes
     std::string advertisedAddress; // IP:port at which other nodes reach this node; default: peerAddress
     std::string platformAddress; // IP:port of the object API
--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -13,6 +13,7 @@
 #include "lovagecross/records/RecordNode.h"
 #include "lovagecross/sharing/DirectoryFollower.h"
 #include "lovagecross/sharing/DirectoryPublisher.h"
+#include "lovagecross/sharing/RelayOffers.h"
 #include "platform/Feeds.h"
 #include "platform/HeaderCodec.h"
 #include "platform/ObjectApi.h"
@@ -22,6 +23,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -54,6 +56,16 @@
 constexpr std::size_t connectionsPerMegabyte = 6;
 constexpr std::size_t minConnectionLimit = 128;
 constexpr std::size_t maxConnectionLimit = 2000;
+constexpr Duration relayConnectTimeout = milliseconds(300);
+constexpr Duration serverProbeCheckInterval = milliseconds(100);
+constexpr Duration relayCheckInterval = milliseconds(200);
+constexpr Duration relayRefreshInterval = std::chrono::seconds(5);
+constexpr Duration urgentRelayRefreshInterval = milliseconds(500); // while this node reaches no server
+constexpr Duration relayFetchTimeout = milliseconds(200);
+constexpr std::size_t relaySourcesPerDataCentre = 2;
+constexpr std::size_t maxRelaySources = 10;
+constexpr std::size_t maxRelayConnections = 64; // nodes to which idle connections are kept
+constexpr std::uint64_t relayedShareDivisor = 4; // calls of others may take a quarter of the connections
 constexpr std::size_t publishersToTell = 3; // of a server that leaves
 constexpr std::size_t cacheMemoryDivisor = 8; // the turn cache gets an eighth of the memory setting
 
@@ -82,6 +94,18 @@
     return addresses;
 }
 
+// Returns the record nodes that know the entry nodes of each data centre.
+std::vector<std::string> relaySourcesOf(const Roster& roster)
+{
+    std::map<std::string, std::size_t> chosen; // by data centre
+    std::vector<std::string> addresses;
+    for (const RosterMember& member : roster.members) {
+        if (addresses.size() < maxRelaySources && chosen[member.dataCentre]++ < relaySourcesPerDataCentre)
+            addresses.push_back(member.address);
+    }
+    return addresses;
+}
+
 ZmqPeersSettings peerSettings(const NodeSettings& settings)
 {
     ZmqPeersSettings peers;
@@ -143,9 +167,10 @@
 // Answers requests from other nodes: directory fetches, record requests and, with an issuer, requests for permits.
 class PeerMessageHandler final : public PeerHandler {
 public:
-    PeerMessageHandler(Directory& ownDirectory, std::function<RecordResponse(const RecordRequest&)> answer,
-        PermitIssuer* permitIssuer = nullptr)
+    PeerMessageHandler(const Clock& clock, Directory& ownDirectory,
+        std::function<RecordResponse(const RecordRequest&)> answer, PermitIssuer* permitIssuer = nullptr)
         : directory(ownDirectory)
+        , relayOffers(clock)
         , respond(std::move(answer))
         , issuer(permitIssuer)
     {
@@ -153,8 +178,12 @@
 
     PeerAnswer handlePeerRequest(const PeerRequest& request, const ChunkSink&) override
     {
-        if (const auto* fetch = std::get_if<DirectoryFetch>(&request))
+        if (const auto* fetch = std::get_if<DirectoryFetch>(&request)) {
+            this->relayOffers.record(*fetch);
             return this->answerFetch(*fetch);
+        }
+        if (const auto* fetch = std::get_if<RelayFetch>(&request))
+            return this->relayOffers.list(fetch->ownAddress);
         if (const auto* permit = std::get_if<PermitRequest>(&request))
             return this->issuer != nullptr ? PeerAnswer(this->issuer->handle(*permit)) : std::monostate {};
         if (const auto* report = std::get_if<LimitReport>(&request)) {
@@ -195,6 +224,7 @@
     }
 
     Directory& directory;
+    RelayOffers relayOffers;
     const std::function<RecordResponse(const RecordRequest&)> respond;
     PermitIssuer* const issuer;
 };
@@ -230,20 +260,25 @@
         : base(settings)
         , records(this->clientSettings(), this->base.recordParts)
         , serverBook(this->base.clock, settings.dataCentre)
-        , pool(this->base.clock, connectTimeout)
+        , paths(this->base.clock)
+        , pool(this->base.clock, connectTimeout, &this->paths)
+        , relayNodes(this->base.clock)
+        , relayPool(this->base.clock, relayConnectTimeout)
+        , relayContext { settings.node, this->paths, this->relayNodes, this->relayPool,
+            static_cast<std::uint64_t>(maxConnections(settings)) / relayedShareDivisor }
         , permits(
               this->base.clock, this->base.peers, [this](const std::string& id) { return this->issuersOf(id); },
               this->base.counters)
         , parts { this->base.clock, this->base.directory, this->serverBook, this->pool, this->codec, this->records,
             this->records, this->permits, GatewayCounters(this->base.counters) }
         , gateway({ settings.callerAddress, maxConnections(settings) }, this->parts)
-        , follower({ directoryTimesOf(settings) }, this->base.peers, this->base.directory,
+        , follower(this->followerSettings(), this->base.peers, this->base.directory,
               platform::decodeConfigurationDocument, this->base.clock,
               [this](const std::vector<RateLimitNotice>& limits) { this->permits.learn(limits); })
         , directoryFeed(this->base.api, this->base.directory, this->base.clock, directoryTimesOf(settings),
               [this] { return !this->follower.upToDate() && this->base.mayReadForItself(); })
-        , messageHandler(
-              this->base.directory, [this](const RecordRequest& request) { return this->handleRecordRequest(request); })
+        , messageHandler(this->base.clock, this->base.directory,
+              [this](const RecordRequest& request) { return this->handleRecordRequest(request); })
     {
     }
 
@@ -258,6 +293,8 @@
         this->steps.add([this] { return this->follower.step(this->publishers()); });
         this->gateway.start();
         const NodeSettings& settings = this->base.settings;
+        if (!settings.relayAddress.empty())
+            this->startRelaying();
         this->readyListener = std::make_unique<StatusListener>(
             settings.readyAddress, this->base.counters, settings.readyPath, [this] { return this->notReadyReason(); });
         if (!settings.metricsAddress.empty())
@@ -275,6 +312,8 @@
         this->gateway.drain();
         std::this_thread::sleep_for(balancerDetectionTime);
         this->gateway.stop(end - this->base.clock.now());
+        if (this->relayGateway)
+            this->relayGateway->stop(end - this->base.clock.now());
         this->readyListener->stop();
         if (this->metricsListener)
             this->metricsListener->stop();
@@ -310,6 +349,8 @@
             return "server registry not received yet";
         if (this->records.shouldLeaveRotation())
             return "record nodes are unreachable";
+        if (!this->paths.reachesServers() && this->relayNodes.empty())
+            return "backend servers are unreachable";
         return {};
     }
 
@@ -318,6 +359,70 @@
         return publishersOf(this->records.roster(), this->base.settings.dataCentre);
     }
 
+    DirectoryFollowerSettings followerSettings() const
+    {
+        DirectoryFollowerSettings settings { directoryTimesOf(this->base.settings) };
+        settings.relayAddress = this->base.settings.relayAddress;
+        settings.dataCentre = this->base.settings.dataCentre;
+        settings.relays = [this] { return this->paths.reachesServers() && !this->parts.draining; };
+        return settings;
+    }
+
+    // Takes calls of other nodes, and finds out whether this node needs others for its own.
+    void startRelaying()
+    {
+        const NodeSettings& settings = this->base.settings;
+        this->parts.relay = &this->relayContext;
+        GatewaySettings listener { settings.relayAddress, maxConnections(settings) / 2, CallOrigin::Node };
+        this->relayGateway = std::make_unique<Gateway>(listener, this->parts);
+        this->relayGateway->start();
+        this->steps.add([this] { return this->probeServers(); });
+        this->steps.add([this] { return this->refreshRelayNodes(); });
+    }
+
+    Duration probeServers()
+    {
+        auto view = this->base.directory.view();
+        std::vector<ServerEntry> servers = this->paths.serversToProbe(*view, this->parts.running > 0);
+        std::vector<Poco::Net::SocketAddress> addresses;
+        addresses.reserve(servers.size());
+        for (const ServerEntry& server : servers)
+            addresses.emplace_back(server.address);
+        std::vector<bool> opened
+            = probeConnections(addresses, this->base.clock.now() + connectTimeout, this->base.clock);
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            if (opened[i])
+                this->paths.connected(servers[i].id);
+            else
+                this->paths.connectFailed(servers[i].id);
+        }
+        return serverProbeCheckInterval;
+    }
+
+    Duration refreshRelayNodes()
+    {
+        TimePoint now = this->base.clock.now();
+        Duration interval = this->paths.reachesServers() ? relayRefreshInterval : urgentRelayRefreshInterval;
+        if (now - this->relaysRefreshedAt < interval)
+            return relayCheckInterval;
+        this->relaysRefreshedAt = now;
+        std::vector<std::string> sources = relaySourcesOf(this->records.roster());
+        std::vector<PeerResult> results
+            = this->base.peers.requestAll(sources, RelayFetch { this->base.settings.relayAddress },
+                Fanout { relayFetchTimeout }, [](const std::vector<const PeerResult*>&) { return false; });
+        std::map<std::string, RelayNode> nodes;
+        for (const PeerResult& result : results) {
+            const auto* list = std::get_if<RelayList>(&result.answer);
+            for (const RelayNode& node : list != nullptr ? list->nodes : std::vector<RelayNode>())
+                nodes[node.address] = node;
+        }
+        std::vector<RelayNode> known;
+        for (const auto& [address, node] : nodes)
+            known.push_back(node);
+        this->relayNodes.replace(std::move(known));
+        return relayCheckInterval;
+    }
+
     // Tells the publishers that this node follows. Their other followers learn it with the server list.
     void reportLeavingServer(const ServerKey& server)
     {
@@ -373,17 +478,27 @@
                 ids.push_back(server.id);
         }
         this->pool.prune(ids);
+        std::vector<std::string> relayAddresses;
+        for (const RelayNode& node : this->relayNodes.choose(maxRelayConnections))
+            relayAddresses.push_back(node.address);
+        this->relayPool.prune(relayAddresses);
         return poolPruneInterval;
     }
 
     NodeBase base;
     RecordClient records;
     ServerStatistics serverBook;
+    ServerPaths paths;
     ConnectionPool pool;
+    RelayTable relayNodes;
+    ConnectionPool relayPool;
+    RelayContext relayContext;
+    TimePoint relaysRefreshedAt;
     PermitClient permits;
     platform::HeaderCodec codec;
     GatewayContext parts;
     Gateway gateway;
+    std::unique_ptr<Gateway> relayGateway; // nullptr without a relay address
     DirectoryFollower follower;
     platform::DirectoryFeed directoryFeed;
     PeerMessageHandler messageHandler;
@@ -404,8 +519,8 @@
         , retirementFeed(this->base.api, this->records, settings.node)
         , issuer(this->base.clock, this->base.peers, this->slicePlacement(), this->base.counters)
         , messageHandler(
-              this->base.directory, [this](const RecordRequest& request) { return this->records.handle(request); },
-              &this->issuer)
+              this->base.clock, this->base.directory,
+              [this](const RecordRequest& request) { return this->records.handle(request); }, &this->issuer)
     {
     }
 
--- a/lovagecross/gateway/Call.h
+++ b/lovagecross/gateway/Call.h
@@ -16,6 +16,12 @@
 
 namespace lovagecross {
 
+// Where a call was received from.
+enum class CallOrigin {
+    Caller,
+    Node, // another entry node that reaches no backend server
+};
+
 // One part of a prompt. Requests with the same part id share that part; the last part belongs to the request or
 // session.
 struct PromptPart {
@@ -68,6 +74,10 @@
     // system may set.
     virtual HeaderList encodeServerRequest(const HeaderList& callerHeaders, const ServerRequestFields& order) const = 0;
 
+    // Returns the header fields of a caller's request for another entry node, which runs it as if it had received it
+    // with `timeLeft` to go.
+    virtual HeaderList encodeRelayedRequest(const HeaderList& callerHeaders, Duration timeLeft) const = 0;
+
     virtual ResponseMetadata decodeResponseMetadata(int status, const HeaderList& headers) const = 0;
 
     // Returns the header fields of a response that this system generates itself.
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -1,5 +1,7 @@
 #include "lovagecross/gateway/CallRunner.h"
 
+#include "lovagecross/gateway/RelayFields.h"
+
 #include "lovagecross/adapters/Log.h"
 #include "lovagecross/base/Hash.h"
 #include "lovagecross/http/BodyDecoder.h"
@@ -31,20 +33,33 @@
 } // namespace
 
 CallRunner::CallRunner(GatewayContext& shared, ByteStream& callerStream, const RequestHead& requestHead,
-    std::string requestBody, TimePoint received)
+    std::string requestBody, TimePoint received, CallOrigin from)
     : parts(shared)
     , caller(callerStream)
     , head(requestHead)
     , body(std::move(requestBody))
     , receivedAt(received)
+    , callOrigin(from)
     , view(shared.directory.view())
     , call(shared.codec.decodeCall(requestHead.headers))
 {
+    ++this->parts.running;
+    if (this->callOrigin == CallOrigin::Node)
+        ++this->parts.relay->calls;
+}
+
+CallRunner::~CallRunner()
+{
+    --this->parts.running;
+    if (this->callOrigin == CallOrigin::Node)
+        --this->parts.relay->calls;
 }
 
 AfterCall CallRunner::run()
 {
     this->parts.counters.calls.add();
+    if (this->callOrigin == CallOrigin::Node && !this->mayTakeRelayedCall())
+        return this->declineRelayedCall();
     if (!this->view->configuration)
         return this->refuse(503, "no configuration is known yet", longRetryAfter);
     const std::string* host = this->head.headers.find("Host");
@@ -55,7 +70,7 @@
         return this->refuse(400, "the request has no id");
     Duration allowed = this->route->timeout > Duration(0) ? this->route->timeout : std::chrono::hours(1);
     this->deadline = this->receivedAt + std::min(allowed, this->call.timeLeft.value_or(allowed));
-    return this->runRouted(*this->route);
+    return this->mustRelay() ? this->finish(this->relay(*this->route)) : this->runRouted(*this->route);
 }
 
 AfterCall CallRunner::runRouted(const Route& found)
@@ -71,7 +86,14 @@
             return *refused;
     }
     AttemptOutcome outcome = this->runAttempts(found);
+    if (this->mayFallBackToRelay(found, outcome))
+        outcome = this->relay(found);
     this->settleTokens();
+    return this->finish(outcome);
+}
+
+AfterCall CallRunner::finish(AttemptOutcome outcome)
+{
     switch (outcome) {
     case AttemptOutcome::Completed:
         return this->mustClose() ? AfterCall::Close : AfterCall::KeepOpen;
@@ -245,6 +267,7 @@
 CallRunner::AttemptOutcome CallRunner::writeResponse(const ResponseHead& response, std::string_view content)
 {
     HeaderList headers = forwardedFields(response);
+    this->addRelayFields(headers);
     if (this->head.method != "HEAD" && response.status != 204 && response.status != 304)
         headers.add("Content-Length", std::to_string(content.size()));
     this->addConnectionFields(headers);
@@ -325,6 +348,8 @@
     this->parts.counters.callDuration.record(now - this->receivedAt);
     LogLine line(LogLevel::Info, "call");
     line.field("request", this->call.requestId).field("outcome", outcome).field("status", status);
+    if (this->callOrigin == CallOrigin::Node)
+        line.field("relayedFor", relayedFor(this->head.headers));
     if (this->route != nullptr)
         line.field("route", this->route->name).field("kind", callKindNames.name(this->route->kind));
     if (!this->call.program.empty())
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -11,6 +11,8 @@
 //  - if no byte was sent, or the server confirmed that it did not run the call, another server is tried;
 //  - if the outcome is unknown, only safe calls are sent again, and only resumable streams continue on another server,
 //    after the last event that the caller has received.
+// The same holds for calls that are sent through another node, which runs them as a whole: it chooses the server, holds
+// the permit and reserves the tokens. A call that came from another node is never passed on to a third one.
 // A 503 response is sent only if the call has not run and will not run.
 //
 // Thread safety: not synchronized; one thread runs the call.
@@ -43,7 +45,10 @@
 public:
     // `requestBody` is the complete body. `receivedAt` is when the last byte of the head arrived.
     CallRunner(GatewayContext& shared, ByteStream& callerStream, const RequestHead& requestHead,
-        std::string requestBody, TimePoint receivedAt);
+        std::string requestBody, TimePoint receivedAt, CallOrigin callOrigin = CallOrigin::Caller);
+    ~CallRunner();
+    CallRunner(const CallRunner&) = delete;
+    CallRunner& operator=(const CallRunner&) = delete;
 
     AfterCall run();
 
@@ -59,6 +64,20 @@
     };
 
     AfterCall runRouted(const Route& route);
+    AfterCall finish(AttemptOutcome outcome);
+
+    // Through another node, in CallRunnerRelay.cpp
+    bool mustRelay() const;
+    bool mayFallBackToRelay(const Route& route, AttemptOutcome outcome) const;
+    bool mayTakeRelayedCall() const;
+    AfterCall declineRelayedCall();
+    AttemptOutcome relay(const Route& route);
+    AttemptOutcome relayThrough(const Route& route, const RelayNode& node);
+    AttemptOutcome forwardRelayedResponse(const Route& route, ServerExchange& exchange);
+    AttemptOutcome forwardRelayedStream(ServerExchange& exchange);
+    void learnFromRelay(const ServerExchange& exchange, TimePoint sentAt);
+    void addRelayFields(HeaderList& headers) const;
+
     void selectService(const std::string& name);
     bool routeNames(const Route& route, const std::string& name) const;
     AttemptOutcome runAttempts(const Route& route);
@@ -107,6 +126,7 @@
     const RequestHead& head;
     std::string body;
     const TimePoint receivedAt;
+    const CallOrigin callOrigin;
     const std::shared_ptr<const DirectoryView> view; // keeps `route` alive when the configuration changes
     Call call;
     TimePoint deadline;
@@ -125,6 +145,7 @@
     std::uint32_t deniedPermits = 0;
     std::optional<Duration> nextPermitIn; // set if a server was passed over because its rate limit was reached
     std::string lastServer;
+    std::int64_t lastServerStarted = 0;
     std::string lastVersion; // software version of that server
     std::string lastFailure;
     TimePoint firstSendAt;
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -4,6 +4,7 @@
 
 #include "lovagecross/adapters/Log.h"
 #include "lovagecross/base/Hash.h"
+#include "lovagecross/gateway/RelayFields.h"
 #include "lovagecross/http/BodyDecoder.h"
 
 #include <algorithm>
@@ -99,6 +100,7 @@
     }
     this->triedServers.insert(server.id);
     this->lastServer = server.id;
+    this->lastServerStarted = server.startedUnixMillis;
     this->lastVersion = server.softwareVersion;
     return this->runAttempt(found, server);
 }
@@ -165,6 +167,8 @@
     request.method = this->head.method;
     request.target = this->head.target;
     request.headers = this->parts.codec.encodeServerRequest(this->head.headers, order);
+    if (this->callOrigin == CallOrigin::Node)
+        request.headers.remove(relayedForField);
     request.body = this->body;
     request.requestId = this->call.requestId;
     request.reuse = found.repeatable() ? Reuse::Any : Reuse::IfRecentlyUsed;
@@ -186,6 +190,8 @@
         : this->deadline;
     ExchangeStatus end = exchange.start(this->makeRequest(found, server), headBy);
     TimePoint answeredAt = this->parts.clock.now();
+    if (end == ExchangeStatus::Ok && this->parts.relay != nullptr)
+        this->parts.relay->paths.heard();
     if (exchange.serverLeaves())
         this->noteLeavingServer(server);
     if (end == ExchangeStatus::Ok && exchange.remarks().fromServer)
@@ -315,6 +321,8 @@
         std::string content;
         ExchangeStatus end = exchange.readSome(content, this->stallDeadline(found));
         splitter.add(content);
+        if (!content.empty() && this->parts.relay != nullptr)
+            this->parts.relay->paths.heard();
         AttemptOutcome outcome = this->forwardEvents(splitter);
         if (outcome != AttemptOutcome::TryNextServer)
             return outcome;
@@ -414,6 +422,7 @@
 bool CallRunner::writeStreamHead()
 {
     HeaderList headers = forwardedFields(*this->streamHead);
+    this->addRelayFields(headers);
     headers.add("Transfer-Encoding", "chunked");
     this->addConnectionFields(headers);
     this->headWritten = true;
--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -47,8 +47,9 @@
 
 } // namespace
 
-CallerSession::CallerSession(GatewayContext& shared, const Poco::Net::StreamSocket& socket)
+CallerSession::CallerSession(GatewayContext& shared, const Poco::Net::StreamSocket& socket, CallOrigin callOrigin)
     : parts(shared)
+    , origin(callOrigin)
     , stream(socket)
     , openedAt(shared.clock.now())
 {
@@ -74,7 +75,7 @@
         if (end != ReadResult::Ok)
             return;
         bodyBytes.set(body.size());
-        CallRunner runner(this->parts, this->stream, head, std::move(body), this->headArrivedAt);
+        CallRunner runner(this->parts, this->stream, head, std::move(body), this->headArrivedAt, this->origin);
         if (runner.run() == AfterCall::Close) {
             this->lingeringClose();
             return;
--- a/lovagecross/gateway/CallerSession.h
+++ b/lovagecross/gateway/CallerSession.h
@@ -18,7 +18,8 @@
 
 class CallerSession {
 public:
-    CallerSession(GatewayContext& shared, const Poco::Net::StreamSocket& socket);
+    CallerSession(
+        GatewayContext& shared, const Poco::Net::StreamSocket& socket, CallOrigin callOrigin = CallOrigin::Caller);
 
     // Serves requests until the connection is closed.
     void run();
@@ -43,6 +44,7 @@
     CallerLimits limits() const;
 
     GatewayContext& parts;
+    const CallOrigin origin;
     ByteStream stream;
     const TimePoint openedAt;
     TimePoint headArrivedAt;
--- a/lovagecross/gateway/ConnectionPool.cpp
+++ b/lovagecross/gateway/ConnectionPool.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-ConnectionPool::ConnectionPool(const Clock& clock, Duration connectionTimeout)
+ConnectionPool::ConnectionPool(const Clock& clock, Duration connectionTimeout, ServerPaths* serverPaths)
     : clock(clock)
     , connectTimeout(connectionTimeout)
+    , paths(serverPaths)
 {
 }
 
@@ -36,8 +37,9 @@
         return connection;
     try {
         Poco::Net::SocketAddress address(server.address);
-        ConnectResult result
-            = connectTo(address, std::min(deadline, this->clock.now() + this->connectTimeout), this->clock);
+        TimePoint startedAt = this->clock.now();
+        ConnectResult result = connectTo(address, std::min(deadline, startedAt + this->connectTimeout), this->clock);
+        this->reportConnect(server, result.status, startedAt);
         if (result.status == IoStatus::Ok)
             connection.stream = std::make_unique<ByteStream>(result.socket);
     } catch (const Poco::Exception& error) { // malformed address, or out of file descriptors
@@ -50,6 +52,17 @@
     return connection;
 }
 
+// A connection that was given up early, because the call's time was over, tells nothing about the server.
+void ConnectionPool::reportConnect(const ServerEntry& server, IoStatus status, TimePoint startedAt)
+{
+    if (this->paths == nullptr)
+        return;
+    if (status == IoStatus::Ok)
+        this->paths->connected(server.id);
+    else if (status == IoStatus::Failed || this->clock.now() - startedAt >= this->connectTimeout)
+        this->paths->connectFailed(server.id);
+}
+
 void ConnectionPool::keep(const ServerEntry& server, PooledConnection connection, Duration keepFor)
 {
     TimePoint now = this->clock.now();
--- a/lovagecross/gateway/ConnectionPool.h
+++ b/lovagecross/gateway/ConnectionPool.h
@@ -10,6 +10,7 @@
 
 #include "lovagecross/base/Clock.h"
 #include "lovagecross/gateway/ServerEntry.h"
+#include "lovagecross/gateway/ServerPaths.h"
 #include "lovagecross/http/ByteStream.h"
 
 #include <cstdint>
@@ -38,7 +39,8 @@
 
 class ConnectionPool {
 public:
-    ConnectionPool(const Clock& clock, Duration connectionTimeout);
+    // The outcomes of opening connections are reported to `serverPaths` unless it is nullptr.
+    ConnectionPool(const Clock& clock, Duration connectionTimeout, ServerPaths* serverPaths = nullptr);
 
     // Returns an idle connection that is still open and has not carried the request, or opens a new one. The request
     // counts as sent on it.
@@ -59,10 +61,12 @@
         TimePoint expiresAt;
     };
 
+    void reportConnect(const ServerEntry& server, IoStatus status, TimePoint startedAt);
     PooledConnection takeIdle(const std::string& serverId, std::uint64_t request, Reuse reuse);
 
     const Clock& clock;
     const Duration connectTimeout;
+    ServerPaths* const paths;
     mutable std::mutex mutex;
     std::map<std::string, std::vector<IdleConnection>> idle; // by server id, most recently used last
 };
--- a/lovagecross/gateway/Gateway.cpp
+++ b/lovagecross/gateway/Gateway.cpp
@@ -33,6 +33,9 @@
     , sends(counters.counter("gateway.sends"))
     , streamsResumed(counters.counter("gateway.resumed"))
     , serversLeaving(counters.counter("gateway.serversLeaving"))
+    , relayedAway(counters.counter("gateway.relayedAway"))
+    , relayedHere(counters.counter("gateway.relayedHere"))
+    , relaysDeclined(counters.counter("gateway.relaysDeclined"))
     , bodyBytes(counters.counter("gateway.bodyBytes"))
     , timeToFirstSend(counters.histogram("gateway.toFirstSend"))
     , completionDelay(counters.histogram("gateway.atEnd"))
@@ -84,7 +87,7 @@
     {
         std::unique_ptr<CallerTask> self(this);
         try {
-            CallerSession session(this->parts, this->socket);
+            CallerSession session(this->parts, this->socket, this->gateway.settings.origin);
             SessionRegistration guard(this->gateway, session);
             session.run();
         } catch (const std::exception& error) {
--- a/lovagecross/gateway/Gateway.h
+++ b/lovagecross/gateway/Gateway.h
@@ -27,6 +27,7 @@
 struct GatewaySettings {
     std::string address; // IP:port to listen on
     int maxConnections = 512;
+    CallOrigin origin = CallOrigin::Caller; // who connects to this address
 };
 
 class Gateway {
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -9,6 +9,8 @@
 #include "lovagecross/gateway/ConnectionPool.h"
 #include "lovagecross/gateway/Directory.h"
 #include "lovagecross/gateway/Permits.h"
+#include "lovagecross/gateway/RelayTable.h"
+#include "lovagecross/gateway/ServerPaths.h"
 #include "lovagecross/gateway/ServerStatistics.h"
 #include "lovagecross/gateway/Turns.h"
 
@@ -28,6 +30,9 @@
     Counter& sends;
     Counter& streamsResumed;
     Counter& serversLeaving; // that said so in an answer
+    Counter& relayedAway; // calls sent through another node
+    Counter& relayedHere; // calls of other nodes
+    Counter& relaysDeclined; // calls of other nodes that were not taken
     Counter& bodyBytes; // of request bodies that are buffered now
     LatencyHistogram& timeToFirstSend; // from the received request head to the first send to a backend server
     LatencyHistogram& completionDelay; // from the last received event to the end of the response
@@ -37,6 +42,16 @@
     LatencyHistogram& callDuration; // from the received request head to the logged end of the call
 };
 
+// What a node needs to send calls through other nodes.
+struct RelayContext {
+    std::string nodeName; // of this node
+    ServerPaths& paths;
+    RelayTable& nodes;
+    ConnectionPool& connections; // to other nodes
+    std::uint64_t maxCalls = 64; // of other nodes that this one runs at once; its own callers go first
+    std::atomic<std::uint64_t> calls { 0 }; // of other nodes that are running here
+};
+
 struct GatewayContext {
     const Clock& clock;
     Directory& directory;
@@ -48,6 +63,8 @@
     ServerPermits& permits;
     GatewayCounters counters;
     std::function<void(const ServerKey&)> reportLeavingServer = [](const ServerKey&) {}; // to other nodes
+    RelayContext* relay = nullptr; // nullptr: calls are never relayed
+    std::atomic<std::uint64_t> running { 0 }; // calls under way
     std::atomic<bool> draining { false };
 };
 
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -59,6 +59,16 @@
             headers.set("Last-Event-Id", std::to_string(*order.resumeAfter));
         return headers;
     }
+    HeaderList encodeRelayedRequest(const HeaderList& callerHeaders, Duration timeLeft) const override
+    {
+        HeaderList headers;
+        for (const HeaderField& field : callerHeaders.fields()) {
+            if (!isHopByHopField(field.name, callerHeaders) && !equalsIgnoringCase(field.name, "Time"))
+                headers.add(field.name, field.value);
+        }
+        headers.add("Time", std::to_string(toMillis(timeLeft)));
+        return headers;
+    }
     ResponseMetadata decodeResponseMetadata(int, const HeaderList& headers) const override
     {
         ResponseMetadata metadata;
--- /dev/null
+++ b/lovagecross/gateway/RelayFields.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// Header fields between entry nodes, on calls that one runs for another. They are used only on the address for nodes,
+// never towards callers or backend servers.
+//
+// Thread safety: constants and free functions.
+
+#include "lovagecross/gateway/ServerEntry.h"
+#include "lovagecross/http/MessageHead.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lovagecross {
+
+inline constexpr std::string_view relayedForField = "Lovagecross-Relayed-For"; // name of the node that sends the call
+inline constexpr std::string_view relayDeclinedField = "Lovagecross-Relay-Declined"; // not run; try another node
+// The server that gave the response: its id, a space, and the Unix millisecond of its start.
+inline constexpr std::string_view relayServerField = "Lovagecross-Relay-Server";
+
+// Returns the name of the node for which the call is run, or an empty string.
+inline std::string relayedFor(const HeaderList& headers)
+{
+    const std::string* name = headers.find(relayedForField);
+    return name != nullptr ? *name : std::string();
+}
+
+inline std::string printRelayServer(const ServerKey& server)
+{
+    return server.id + ' ' + std::to_string(server.startedUnixMillis);
+}
+
+// Returns nullopt if the field is missing or malformed.
+inline std::optional<ServerKey> relayServerOf(const HeaderList& headers)
+{
+    const std::string* text = headers.find(relayServerField);
+    std::size_t space = text != nullptr ? text->rfind(' ') : std::string::npos;
+    if (space == std::string::npos || space == 0)
+        return std::nullopt;
+    auto started = parseUnsigned(std::string_view(*text).substr(space + 1));
+    if (!started)
+        return std::nullopt;
+    return ServerKey { text->substr(0, space), static_cast<std::int64_t>(*started) };
+}
+
+inline void removeRelayFields(HeaderList& headers)
+{
+    headers.remove(relayServerField);
+    headers.remove(relayDeclinedField);
+}
+
+} // namespace lovagecross
--- a/lovagecross/http/ByteStream.cpp
+++ b/lovagecross/http/ByteStream.cpp
@@ -106,26 +106,52 @@
     ::shutdown(this->fd, SHUT_RDWR);
 }
 
-ConnectResult connectTo(const Poco::Net::SocketAddress& address, TimePoint deadline, const Clock& clock)
+namespace {
+
+// Begins to open a connection. Returns false if it was refused, or if no file descriptor is available.
+bool startConnect(Poco::Net::StreamSocket& socket, const Poco::Net::SocketAddress& address)
 {
-    ConnectResult result;
     try {
-        result.socket.connectNB(address);
+        socket.connectNB(address);
+        return true;
     } catch (const Poco::Exception&) {
-        return result; // refused, or no file descriptor is available
-    }
-    int fd = result.socket.impl()->sockfd();
-    if (!waitFor(fd, POLLOUT, deadline, clock)) {
-        result.status = IoStatus::TimedOut;
-        return result;
+        return false;
     }
+}
+
+IoStatus finishConnect(const Poco::Net::StreamSocket& socket, TimePoint deadline, const Clock& clock)
+{
+    int fd = socket.impl()->sockfd();
+    if (!waitFor(fd, POLLOUT, deadline, clock))
+        return IoStatus::TimedOut;
     int error = 0;
     socklen_t size = sizeof(error);
-    if (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0)
-        result.status = IoStatus::Ok;
+    bool opened = ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+    return opened ? IoStatus::Ok : IoStatus::Failed;
+}
+
+} // namespace
+
+ConnectResult connectTo(const Poco::Net::SocketAddress& address, TimePoint deadline, const Clock& clock)
+{
+    ConnectResult result;
+    if (startConnect(result.socket, address))
+        result.status = finishConnect(result.socket, deadline, clock);
     return result;
 }
 
+std::vector<bool> probeConnections(
+    const std::vector<Poco::Net::SocketAddress>& addresses, TimePoint deadline, const Clock& clock)
+{
+    std::vector<Poco::Net::StreamSocket> sockets(addresses.size());
+    std::vector<bool> opened;
+    for (std::size_t i = 0; i < addresses.size(); ++i)
+        opened.push_back(startConnect(sockets[i], addresses[i]));
+    for (std::size_t i = 0; i < addresses.size(); ++i)
+        opened[i] = opened[i] && finishConnect(sockets[i], deadline, clock) == IoStatus::Ok;
+    return opened;
+}
+
 IoStatus waitReadable(const ByteStream& stream, TimePoint deadline, const Clock& clock)
 {
     return waitFor(stream.descriptor(), POLLIN, deadline, clock) ? IoStatus::Ok : IoStatus::TimedOut;
--- a/lovagecross/http/ByteStream.h
+++ b/lovagecross/http/ByteStream.h
@@ -14,6 +14,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lovagecross {
 
@@ -65,6 +66,11 @@
 // Opens a connection. The status is Failed if it was refused or an error occurred, TimedOut if the deadline passed.
 ConnectResult connectTo(const Poco::Net::SocketAddress& address, TimePoint deadline, const Clock& clock);
 
+// Opens connections to all addresses at once and closes them again. Returns, in the order of the addresses, which of
+// them could be opened by the deadline.
+std::vector<bool> probeConnections(
+    const std::vector<Poco::Net::SocketAddress>& addresses, TimePoint deadline, const Clock& clock);
+
 // Waits until bytes, the end of the connection or an error can be read (Ok), or until the deadline (TimedOut).
 IoStatus waitReadable(const ByteStream& stream, TimePoint deadline, const Clock& clock);
 
--- a/lovagecross/ports/Peer.h
+++ b/lovagecross/ports/Peer.h
@@ -171,10 +171,29 @@
     std::vector<LeavingServer> servers;
 };
 
-// Requests registry changes from a node that reads the registry: everything that differs from the requester's state.
+// Requests registry changes from a node that reads the registry: everything that differs from the requester's state. An
+// entry node also says whether it can run calls for nodes that reach no backend server.
 struct DirectoryFetch {
     std::uint64_t configurationVersion = 0; // 0 if the requester has no configuration
     std::uint64_t serversDigest = 0; // digest of the server list known to the requester; 0 if it has none
+    std::string relayAddress {}; // IP:port on which the requester takes calls of other entry nodes; empty: nowhere
+    std::string relayDataCentre {};
+    bool relays = false; // whether it can run them now
+};
+
+// An entry node that runs calls for others.
+struct RelayNode {
+    std::string address; // IP:port
+    std::string dataCentre;
+};
+
+// Asks a record node which entry nodes run calls for others now.
+struct RelayFetch {
+    std::string ownAddress; // of the requester, which is left out
+};
+
+struct RelayList {
+    std::vector<RelayNode> nodes;
 };
 
 struct DirectoryServer {
@@ -203,9 +222,9 @@
 };
 
 using PeerRequest = std::variant<PromiseRequest, BridgeBatch, BridgeTrim, BridgeFetch, Gossip, ConfigFetch,
-    ForwardRequest, RecordCall, DirectoryFetch, PermitRequest, LimitReport, LeavingReport>;
+    ForwardRequest, RecordCall, DirectoryFetch, PermitRequest, LimitReport, LeavingReport, RelayFetch>;
 using PeerAnswer = std::variant<std::monostate, PromiseAnswer, BridgeAnswer, BridgeCopies, Gossip, ConfigDocument,
-    ForwardEnd, RecordReply, DirectoryUpdate, PermitAnswer>;
+    ForwardEnd, RecordReply, DirectoryUpdate, PermitAnswer, RelayList>;
 
 enum class PeerStatus {
     Ok,
--- a/lovagecross/runtime/Node.cpp
+++ b/lovagecross/runtime/Node.cpp
@@ -102,6 +102,7 @@
     PeerAnswer operator()(const PermitRequest&) const { return {}; }
     PeerAnswer operator()(const LimitReport&) const { return {}; }
     PeerAnswer operator()(const LeavingReport&) const { return {}; }
+    PeerAnswer operator()(const RelayFetch&) const { return {}; }
 };
 
 } // namespace
--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -82,6 +82,9 @@
     DirectoryFetch fetch;
     fetch.configurationVersion = view->configuration ? view->configuration->version : 0;
     fetch.serversDigest = view->serversDigest;
+    fetch.relayAddress = this->settings.relayAddress;
+    fetch.relayDataCentre = this->settings.dataCentre;
+    fetch.relays = this->settings.relays();
     ObservationTime askedAt = ObservationTime::now(this->clock);
     PeerResult result = this->peers.request(publisher, fetch, this->settings.times.fetchTimeout, {});
     const auto* update = std::get_if<DirectoryUpdate>(&result.answer);
--- a/lovagecross/sharing/DirectoryFollower.h
+++ b/lovagecross/sharing/DirectoryFollower.h
@@ -35,6 +35,9 @@
 struct DirectoryFollowerSettings {
     DirectoryTimes times;
     std::string ownAddress {}; // of a node that is a publisher itself
+    std::string relayAddress {}; // of an entry node that runs calls for others
+    std::string dataCentre {};
+    std::function<bool()> relays = [] { return false; }; // whether it can do so now
 };
 
 class DirectoryFollower {
