A response whose connection ends inside its head is none (programs' own mode, platform client)

A server that stopped in the middle of its response's head and closed gave a success with an empty body. Cause: the HTTP library takes the end of the connection for the end of the head; a 204, or a length of 0 read before the cut, then passed as complete. Class of fault: the end of the input taken for the end of a message. HttpConnectionTest:: responseThatEndsInsideItsHeadIsNone failed before, with the first of six cuts (204). The socket reports the end of the connection while a head is read. The gateway's own parser was not affected: GatewayStreamTest:: responseThatEndsInsideItsHeadIsNone passed without a change.

--- a/lovagecross/adapters/HttpConnection.cpp
+++ b/lovagecross/adapters/HttpConnection.cpp
@@ -76,6 +76,9 @@
     {
         this->waitUntilReady(SELECT_READ);
         int count = Poco::Net::StreamSocketImpl::receiveBytes(buffer, length, flags);
+        // The library takes the end of the connection for the end of the head.
+        if (count == 0 && this->readingHead)
+            throw Poco::Net::MessageException("the connection ended inside the response head");
         if (count > 0) {
             this->bytesReceived += static_cast<std::size_t>(count);
             if (this->readingHead && this->bytesReceived > maxResponseHeadBytes)
--- a/lovagecross/adapters/HttpConnectionTest.cpp
+++ b/lovagecross/adapters/HttpConnectionTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(endlessHeadEndsTheExchange);
     CPPUNIT_TEST(endlessInterimResponsesEndTheExchange);
     CPPUNIT_TEST(endlessBodyEndsTheExchange);
+    CPPUNIT_TEST(responseThatEndsInsideItsHeadIsNone);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration longDeadline = std::chrono::seconds(20); // must not be what ends the exchange
@@ -54,6 +55,28 @@
             this->callServerThatSends("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n")
             == HttpEnd::TooLarge);
     }
+
+    // Guards against a success with an empty body for a server that stopped in the middle of its response's head.
+    void responseThatEndsInsideItsHeadIsNone()
+    {
+        for (const char* head : { "HTTP/1.1 204 No Content\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Fie", "HTTP/1.1 200 OK\r\nContent-Length: 0",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 2" }) {
+            testing::ScriptedServer server(
+                [head](const testing::ScriptedRequest&, testing::ScriptedConnection& connection) {
+                    connection.write(head);
+                    return false;
+                });
+            HttpConnection connection(server.address(), this->clock);
+            Poco::Net::HTTPResponse response;
+            HttpCall call { "GET", "/object", {}, {} };
+            HttpEnd end = connection.exchange(call, { this->clock.now() + std::chrono::seconds(3) }, response);
+            std::string body;
+            if (end == HttpEnd::Complete)
+                end = connection.readBody(body, 64 * 1024);
+            CPPUNIT_ASSERT_MESSAGE(head, end == HttpEnd::ConnectionFailed);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
