A call that can't end before a planned stop is refused instead of being passed on and cut

A request that was read late in the grace of a planned stop was passed on, also one that may not be repeated, and cut without an answer at the end (LOST). Cause: a node that stops knew only that it stops, not when. Class of fault: work is accepted beyond the time for which its owner exists. GatewayTest::callThatCanNotEndBeforeTheStopIsRefused failed before: the late call got 200 from a node that should have been gone. From the moment at which the balancer has stopped sending, a call whose time reaches beyond the end gets 503 at once and may go to another node.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -70,6 +70,8 @@
         return this->refuse(400, "the request has no id");
     Duration allowed = this->route->timeout > Duration(0) ? this->route->timeout : std::chrono::hours(1);
     this->deadline = this->receivedAt + std::min(allowed, this->call.timeLeft.value_or(allowed));
+    if (this->deadline > this->parts.stopsAt.load())
+        return this->refuse(503, "the node stops before the call could end", shortRetryAfter);
     return this->mustRelay() ? this->finish(this->relay(*this->route)) : this->runRouted(*this->route);
 }
 
@@ -329,7 +331,8 @@
 
 bool CallRunner::mustClose() const
 {
-    return this->parts.draining || this->closeAfterCall || !this->head.keepAlive;
+    bool stopping = this->parts.draining || this->parts.stopsAt.load() != TimePoint::max();
+    return stopping || this->closeAfterCall || !this->head.keepAlive;
 }
 
 bool CallRunner::write(std::string_view bytes)
--- a/lovagecross/gateway/Gateway.cpp
+++ b/lovagecross/gateway/Gateway.cpp
@@ -162,9 +162,10 @@
 {
     if (!this->acceptor.joinable())
         return;
+    TimePoint end = this->parts.clock.now() + timeout;
+    this->parts.stopsAt = end;
     this->stopping = true;
     this->acceptor.join();
-    TimePoint end = this->parts.clock.now() + timeout;
     while (this->connections() > 0 && this->parts.clock.now() < end) {
         this->closeIdleConnections();
         std::this_thread::sleep_for(stopPollInterval);
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -66,6 +66,7 @@
     RelayContext* relay = nullptr; // nullptr: calls are never relayed
     std::atomic<std::uint64_t> running { 0 }; // calls under way
     std::atomic<bool> draining { false };
+    std::atomic<TimePoint> stopsAt { TimePoint::max() }; // calls that are still running then are cut off
 };
 
 } // namespace lovagecross
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(unansweredRequestDuringCloseIsNotForwarded);
     CPPUNIT_TEST(connectionAfterTheStopIsRefusedAtOnce);
     CPPUNIT_TEST(connectionsOpenedBeforeTheStopAreServed);
+    CPPUNIT_TEST(callThatCanNotEndBeforeTheStopIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
     void callPassesThroughUnchanged()
@@ -357,6 +358,38 @@
         CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
     }
 
+    // Guards against a call that arrives late in a planned stop, is passed on, and is cut off without an answer when
+    // the time for the stop is over, although it may not be repeated.
+    void callThatCanNotEndBeforeTheStopIsRefused()
+    {
+        std::atomic<int> ran { 0 };
+        this->addServer([&](const ScriptedRequest& request, ScriptedConnection& connection) {
+            ++ran;
+            std::this_thread::sleep_for(milliseconds(1000));
+            return connection.write(signedResponse(request, "done"));
+        });
+        auto reachGateway = [this](const std::string& bytes) {
+            auto caller = std::make_unique<CallerSocket>(this->address);
+            caller->write(bytes);
+            return caller;
+        };
+        std::string late = post("/unsafe/", "late", "x", "Time: 1400\r\n");
+        std::string quick = post("/unsafe/", "quick", "x", "Time: 150\r\n");
+        auto slowCaller = reachGateway(late.substr(0, 20));
+        auto quickCaller = reachGateway(quick.substr(0, 20));
+        std::this_thread::sleep_for(milliseconds(50));
+        std::thread stopper([this] { this->gateway->stop(milliseconds(700)); });
+        std::this_thread::sleep_for(milliseconds(100));
+        slowCaller->write(late.substr(20));
+        quickCaller->write(quick.substr(20));
+        std::string refused = slowCaller->readResponse();
+        std::string ended = quickCaller->readResponse();
+        stopper.join();
+        CPPUNIT_ASSERT_MESSAGE(refused, contains(refused, "HTTP/1.1 503") && contains(refused, "Connection: close"));
+        CPPUNIT_ASSERT_MESSAGE(ended, contains(ended, "HTTP/1.1 504")); // it was sent, and its own time was over
+        CPPUNIT_ASSERT_EQUAL(1, ran.load());
+    }
+
     // Guards against a listener that stays open while the last calls end: its connections would never be answered.
     void connectionAfterTheStopIsRefusedAtOnce()
     {
