Tests: errors of the server that should continue a stream, and responses cut inside the head, at the gateway

Both tests passed without a change of the code: an error is never written into a stream that has begun, and a head without its end is no response.

--- a/lovagecross/gateway/GatewayStreamTest.cpp
+++ b/lovagecross/gateway/GatewayStreamTest.cpp
@@ -9,6 +9,8 @@
     CPPUNIT_TEST(resumableStreamContinuesOnAnotherServer);
     CPPUNIT_TEST(truncatedStreamIsNotCompleted);
     CPPUNIT_TEST(streamWithMissingEventIsAborted);
+    CPPUNIT_TEST(errorOfTheNextServerIsNoPartOfTheStream);
+    CPPUNIT_TEST(responseThatEndsInsideItsHeadIsNone);
     CPPUNIT_TEST(turnIncludesPrecedingConversation);
     CPPUNIT_TEST(turnsOfAnotherProgramAreStoredWithTheFirst);
     CPPUNIT_TEST(tooLongConversationIsRefused);
@@ -73,6 +75,65 @@
         CPPUNIT_ASSERT_MESSAGE(response, !contains(response, event(3)) && !contains(response, "0\r\n\r\n"));
     }
 
+    // Guards against the text or the head of an error in the middle of a stream, and against a stream that ends as if
+    // it were complete because the server that should continue it answered with an error.
+    void errorOfTheNextServerIsNoPartOfTheStream()
+    {
+        const std::vector<std::string> errors {
+            "HTTP/1.1 500 Failed\r\nId: @\r\nSigned: x\r\nContent-Length: 9\r\n\r\nnot here\n",
+            "HTTP/1.1 404 Gone\r\nId: @\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nnot here\r\n0\r\n\r\n",
+            "HTTP/1.1 503 Full\r\nId: @\r\nNot-Executed: 1\r\nContent-Length: 8\r\n\r\nnot here",
+            "HTTP/1.1 503 Full\r\nId: @\r\nSigned: x\r\nContent-Length: 8\r\n\r\nnot here",
+            "HTTP/1.1 200 OK\r\nId: @\r\nContent-Length: 8\r\n\r\nnot here", // not signed
+            "HTTP/1.1 200 OK\r\nId: @\r\nSigned: x\r\nContent-Length: 8\r\n\r\nnot here", // no event
+            "HTTP/1.1 500 Failed\r\nId: @\r\nSigned: x\r\n\r\nnot here", // ends with the connection
+            "HTTP/1.1 500 Failed\r\nId: @\r\nnot here",
+        };
+        for (const std::string& error : errors) {
+            this->servers.clear();
+            this->entries.clear();
+            this->book->retain({});
+            this->addServers(2, [&error](const ScriptedRequest& request, ScriptedConnection& connection) {
+                if (request.header("Last-Event-Id").empty()) {
+                    connection.write(streamHead(request) + printChunk(event(1)));
+                    std::this_thread::sleep_for(milliseconds(10));
+                    connection.reset();
+                    return false;
+                }
+                std::string response = error;
+                std::size_t id = response.find('@');
+                connection.write(response.replace(id, 1, request.header("Id")));
+                return false;
+            });
+            std::string response = this->sendRequest(post("/stream/", "r1", "x", "Time: 700\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(error + response, contains(response, event(1)) && contains(response, "<closed>"));
+            CPPUNIT_ASSERT_MESSAGE(error + response, !contains(response, "not here"));
+            CPPUNIT_ASSERT_MESSAGE(error + response, !contains(response, "0\r\n\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(error + response, response.find("HTTP/1.1", 1) == std::string::npos);
+        }
+        this->servers.clear(); // the scripts refer to `errors`
+    }
+
+    // Guards against a success with an empty or short body for a server that stopped in the middle of its response's
+    // head.
+    void responseThatEndsInsideItsHeadIsNone()
+    {
+        for (const char* path : { "/safe/", "/unsafe/", "/stream/", "/turn/" }) {
+            for (const char* more : { "", "Content-Length: 0", "Content-Length: 0\r\n", "Transfer-Enc" }) {
+                this->servers.clear();
+                this->entries.clear();
+                this->book->retain({});
+                this->addServer([more](const ScriptedRequest& request, ScriptedConnection& connection) {
+                    connection.write("HTTP/1.1 200 OK\r\nId: " + request.header("Id") + "\r\nSigned: x\r\n" + more);
+                    return false;
+                });
+                std::string response = this->sendRequest(post(path, "r1", "x", "Time: 700\r\n"));
+                CPPUNIT_ASSERT_MESSAGE(path + response, contains(response, "HTTP/1.1 502"));
+            }
+        }
+        CPPUNIT_ASSERT(this->turns->kept.empty());
+    }
+
     void turnIncludesPrecedingConversation()
     {
         std::mutex mutex;
