Idle connections to the platform are closed when a request on another one gets no answer

Cause: each connection was judged by itself, though they share the path. ObjectApiTest::connectionsThatWentSilentTogetherCostOneTimeout failed before: the second read timed out too.

--- a/lovagecross/adapters/HttpConnectionPool.cpp
+++ b/lovagecross/adapters/HttpConnectionPool.cpp
@@ -35,10 +35,19 @@
             break;
         connection = this->createConnection(reused);
     }
+    if (reply.end == HttpEnd::DeadlinePassed || reply.end == HttpEnd::ProgressTimeout)
+        this->dropIdleConnections();
     this->release(std::move(connection));
     return reply;
 }
 
+void HttpConnectionPool::dropIdleConnections()
+{
+    std::vector<std::unique_ptr<HttpConnection>> dropped; // destroyed after the lock is released
+    std::lock_guard lock(this->mutex);
+    dropped.swap(this->idle);
+}
+
 std::unique_ptr<HttpConnection> HttpConnectionPool::acquire(TimePoint deadline, bool& reused)
 {
     std::unique_lock lock(this->mutex);
--- a/lovagecross/adapters/HttpConnectionPool.h
+++ b/lovagecross/adapters/HttpConnectionPool.h
@@ -37,7 +37,9 @@
     HttpConnectionPool(std::string address, const Clock& clock, std::size_t maxConnections, Duration connectTimeout);
 
     // Sends the request and reads the response. If a reused connection turns out to be closed, the request is retried
-    // once on a new connection, provided that it doesn't change state or that no byte of it was sent.
+    // once on a new connection, provided that it doesn't change state or that no byte of it was sent. After a request
+    // without an answer in time, all idle connections are closed: the path they share may have gone silent for them
+    // too.
     HttpReply perform(const HttpCall& call, bool changesState, std::size_t maxBodyBytes, Duration timeout);
 
 private:
@@ -46,6 +48,7 @@
     std::unique_ptr<HttpConnection> acquire(TimePoint deadline, bool& reused);
     std::unique_ptr<HttpConnection> createConnection(bool& reused) const;
     void release(std::unique_ptr<HttpConnection> connection);
+    void dropIdleConnections();
 
     const std::string address;
     const Clock& clock;
