Turns at an entry node that has lost the record nodes go through another entry node

The same cause as for nodes without backend servers: the node lacks a path that others have, and no call could use theirs. Test: RelayTest:: turnsOfANodeWithoutRecordsAreServed. GatewayTest::serverThatPausesIsWaitedFor shows beside it that a sound server's pause of 1.5 s costs neither a second run nor an answer; it passed without a change, since no socket of ours sets a TCP_USER_TIMEOUT or keep-alive probes.

--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -264,8 +264,7 @@
         , pool(this->base.clock, connectTimeout, &this->paths)
         , relayNodes(this->base.clock)
         , relayPool(this->base.clock, relayConnectTimeout)
-        , relayContext { settings.node, this->paths, this->relayNodes, this->relayPool,
-            static_cast<std::uint64_t>(maxConnections(settings)) / relayedShareDivisor }
+        , relayContext { settings.node, this->paths, this->relayNodes, this->relayPool }
         , permits(
               this->base.clock, this->base.peers, [this](const std::string& id) { return this->issuersOf(id); },
               this->base.counters)
@@ -364,7 +363,8 @@
         DirectoryFollowerSettings settings { directoryTimesOf(this->base.settings) };
         settings.relayAddress = this->base.settings.relayAddress;
         settings.dataCentre = this->base.settings.dataCentre;
-        settings.relays = [this] { return this->paths.reachesServers() && !this->parts.draining; };
+        settings.relays
+            = [this] { return this->paths.reachesServers() && this->reachesRecords() && !this->parts.draining; };
         return settings;
     }
 
@@ -373,6 +373,8 @@
     {
         const NodeSettings& settings = this->base.settings;
         this->parts.relay = &this->relayContext;
+        this->relayContext.maxCalls = static_cast<std::uint64_t>(maxConnections(settings)) / relayedShareDivisor;
+        this->relayContext.reachesRecords = [this] { return this->reachesRecords(); };
         GatewaySettings listener { settings.relayAddress, maxConnections(settings) / 2, CallOrigin::Node };
         this->relayGateway = std::make_unique<Gateway>(listener, this->parts);
         this->relayGateway->start();
@@ -380,6 +382,8 @@
         this->steps.add([this] { return this->refreshRelayNodes(); });
     }
 
+    bool reachesRecords() const { return this->records.reachability() != Reachability::Partitioned; }
+
     Duration probeServers()
     {
         auto view = this->base.directory.view();
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -72,7 +72,7 @@
     this->deadline = this->receivedAt + std::min(allowed, this->call.timeLeft.value_or(allowed));
     if (this->deadline > this->parts.stopsAt.load())
         return this->refuse(503, "the node stops before the call could end", shortRetryAfter);
-    return this->mustRelay() ? this->finish(this->relay(*this->route)) : this->runRouted(*this->route);
+    return this->mustRelay(*this->route) ? this->finish(this->relay(*this->route)) : this->runRouted(*this->route);
 }
 
 AfterCall CallRunner::runRouted(const Route& found)
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -67,7 +67,8 @@
     AfterCall finish(AttemptOutcome outcome);
 
     // Through another node, in CallRunnerRelay.cpp
-    bool mustRelay() const;
+    bool mustRelay(const Route& route) const;
+    bool needsRecords(const Route& route) const;
     bool mayFallBackToRelay(const Route& route, AttemptOutcome outcome) const;
     bool mayTakeRelayedCall() const;
     AfterCall declineRelayedCall();
--- a/lovagecross/gateway/CallRunnerRelay.cpp
+++ b/lovagecross/gateway/CallRunnerRelay.cpp
@@ -1,7 +1,7 @@
 #include "lovagecross/gateway/CallRunner.h"
 
-// Calls that are sent through another entry node, because this one reaches no backend server, and the acceptance of
-// such calls from other nodes.
+// Calls that are sent through another entry node, because this one lacks the path to the backend servers or to the
+// record nodes, and the acceptance of such calls from other nodes.
 
 #include "lovagecross/adapters/Log.h"
 #include "lovagecross/gateway/RelayFields.h"
@@ -20,10 +20,20 @@
 
 // --- On the node that sends a call through another one
 
-bool CallRunner::mustRelay() const
+bool CallRunner::mustRelay(const Route& found) const
 {
-    return this->callOrigin == CallOrigin::Caller && this->parts.relay != nullptr
-        && !this->parts.relay->paths.reachesServers();
+    if (this->callOrigin != CallOrigin::Caller || this->parts.relay == nullptr)
+        return false;
+    if (!this->parts.relay->paths.reachesServers())
+        return true;
+    return this->needsRecords(found) && !this->parts.relay->reachesRecords() && !this->parts.relay->nodes.empty();
+}
+
+// Whether the call reads or writes what record nodes keep: turns, token budgets, or the origin of a stream.
+bool CallRunner::needsRecords(const Route& found) const
+{
+    return found.kind == CallKind::Streaming
+        && (found.storesTurns || found.resumable || this->call.tokenBudget.has_value());
 }
 
 // No connection could be opened, and this node doesn't know yet whether that is due to the servers. A stream has
@@ -150,7 +160,7 @@
 
 bool CallRunner::mayTakeRelayedCall() const
 {
-    return !this->parts.draining && this->parts.relay->paths.reachesServers()
+    return !this->parts.draining && this->parts.relay->paths.reachesServers() && this->parts.relay->reachesRecords()
         && this->parts.relay->calls <= this->parts.relay->maxCalls;
 }
 
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -42,12 +42,14 @@
     LatencyHistogram& callDuration; // from the received request head to the logged end of the call
 };
 
-// What a node needs to send calls through other nodes.
+// What a node needs to send calls through other nodes: those that it can't serve because it lacks the path to the
+// backend servers, or to the record nodes.
 struct RelayContext {
     std::string nodeName; // of this node
     ServerPaths& paths;
     RelayTable& nodes;
     ConnectionPool& connections; // to other nodes
+    std::function<bool()> reachesRecords = [] { return true; };
     std::uint64_t maxCalls = 64; // of other nodes that this one runs at once; its own callers go first
     std::atomic<std::uint64_t> calls { 0 }; // of other nodes that are running here
 };
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(connectionAfterTheStopIsRefusedAtOnce);
     CPPUNIT_TEST(connectionsOpenedBeforeTheStopAreServed);
     CPPUNIT_TEST(callThatCanNotEndBeforeTheStopIsRefused);
+    CPPUNIT_TEST(serverThatPausesIsWaitedFor);
     CPPUNIT_TEST_SUITE_END();
 
     void callPassesThroughUnchanged()
@@ -358,6 +359,29 @@
         CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
     }
 
+    // Guards against a second run, or a lost answer, because a sound server was silent for a second and a half, on a
+    // new connection and on a kept one.
+    void serverThatPausesIsWaitedFor()
+    {
+        GatewayConfiguration patient = this->configuration();
+        patient.version = 2;
+        for (Route& each : patient.routes)
+            each.timeout = std::chrono::seconds(4);
+        this->directory->applyConfiguration(patient);
+        this->addServers(2, [](const ScriptedRequest& request, ScriptedConnection& connection) {
+            std::this_thread::sleep_for(milliseconds(1500));
+            if (contains(request.head, "/turn/"))
+                return connection.write(streamHead(request) + printChunk(event(1)) + std::string(lastChunk));
+            return connection.write(signedResponse(request, "done"));
+        });
+        int calls = 0;
+        for (const char* path : { "/safe/", "/unsafe/", "/turn/", "/unsafe/" }) {
+            std::string response = this->sendRequest(post(path, "r" + std::to_string(++calls), "x"));
+            CPPUNIT_ASSERT_MESSAGE(path + response, contains(response, "HTTP/1.1 200"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, calls, this->totalServerRequests());
+        }
+    }
+
     // Guards against a call that arrives late in a planned stop, is passed on, and is cut off without an answer when
     // the time for the stop is over, although it may not be repeated.
     void callThatCanNotEndBeforeTheStopIsRefused()
--- a/lovagecross/gateway/RelayTest.cpp
+++ b/lovagecross/gateway/RelayTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(numberOfCallsForOthersIsLimited);
     CPPUNIT_TEST(whatTheServerSaysOfItselfIsKnownAtBothNodes);
     CPPUNIT_TEST(callFallsBackBeforeTheLossIsKnown);
+    CPPUNIT_TEST(turnsOfANodeWithoutRecordsAreServed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -294,6 +295,34 @@
         CPPUNIT_ASSERT_EQUAL(1, this->totalServerRequests());
     }
 
+    // Guards against turns that are refused because their node has lost the record nodes, while others reach them;
+    // plain calls of that node take no detour.
+    void turnsOfANodeWithoutRecordsAreServed()
+    {
+        std::atomic<int> direct { 0 };
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            return connection.write(streamHead(request) + printChunk(event(1)) + std::string(lastChunk));
+        });
+        ScriptedServer ownServer([&direct](const ScriptedRequest& request, ScriptedConnection& connection) {
+            ++direct;
+            return connection.write(signedResponse(request, "direct"));
+        });
+        ServerEntry own = this->entries[0];
+        own.address = ownServer.address();
+        this->strandedDirectory.replaceServers({ own }, 1);
+        this->strandedPaths.connected("x");
+        this->strandedPaths.connected("y");
+        this->strandedRelay->reachesRecords = [] { return false; };
+        CPPUNIT_ASSERT(contains(this->sendToStranded(post("/unsafe/", "r1", "x")), "direct"));
+        std::string turn = this->sendToStranded(post("/turn/", "t1", "x", "Program: p\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(turn, contains(turn, "data: e1") && contains(turn, "0\r\n\r\n"));
+        CPPUNIT_ASSERT_EQUAL(1, direct.load());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->turns->kept.size());
+        this->soundRelay->reachesRecords = [] { return false; };
+        turn = this->sendToStranded(post("/turn/", "t2", "x", "Program: p\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(turn, contains(turn, "HTTP/1.1 503"));
+    }
+
     ServerPaths soundPaths { this->clock };
     RelayTable soundNodes { this->clock };
     ConnectionPool soundPool { this->clock, milliseconds(300) };
