A node's first list of servers ends no outage

Cause: never having read the registry counted as an outage, so that the grace for servers that may return began. Test: DirectoryTest::firstListEndsNoOutage.

--- a/lovagecross/gateway/Directory.cpp
+++ b/lovagecross/gateway/Directory.cpp
@@ -137,7 +137,7 @@
 // If this node has heard nothing of the registry for long, servers that the peer's list marks as lapsed may return.
 void Directory::peerReachedRegistry(Duration age)
 {
-    bool outage = this->registryReadAt.age(this->clock) > outageAfter;
+    bool outage = this->hasRegistryData && this->registryReadAt.age(this->clock) > outageAfter;
     this->hasRegistryData = true;
     this->advance(this->registryReadAt, age);
     if (this->registryReadAt.age(this->clock) > outageAfter)
--- a/lovagecross/gateway/DirectoryTest.cpp
+++ b/lovagecross/gateway/DirectoryTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(serverKeptByAnotherNodeIsNotRestored);
     CPPUNIT_TEST(graceOfAnotherNodeNeedsAnOutageHere);
     CPPUNIT_TEST(confirmationOfAStaleListEndsNoOutage);
+    CPPUNIT_TEST(firstListEndsNoOutage);
     CPPUNIT_TEST(configurationAgeIsThatOfTheNewestConfirmation);
     CPPUNIT_TEST(serverThatSaysItLeavesStaysDraining);
     CPPUNIT_TEST(newProcessOfALeavingServerIsUsed);
@@ -245,6 +246,16 @@
         }
     }
 
+    // Guards against a node that has just started and keeps servers that are gone, as after an outage.
+    void firstListEndsNoOutage()
+    {
+        ManualClock clock;
+        Directory directory(clock);
+        directory.replaceServersFromPeer({ makeServerEntry("a"), makeServerEntry("b") }, 10, milliseconds(300));
+        directory.changeServers({ { "a", std::nullopt } }, 11);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.view()->serversOf("tool").size());
+    }
+
     // Guards against losing all servers for two seconds when the registry returns, because another node that could not
     // read it either had just answered.
     void confirmationOfAStaleListEndsNoOutage()
