--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -421,6 +421,7 @@
                 nodes[node.address] = node;
         }
         std::vector<RelayNode> known;
+        known.reserve(nodes.size());
         for (const auto& [address, node] : nodes)
             known.push_back(node);
         this->relayNodes.replace(std::move(known));
--- a/lovagecross/gateway/RelayTest.cpp
+++ b/lovagecross/gateway/RelayTest.cpp
@@ -68,9 +68,9 @@
     void losePaths(ServerPaths& paths)
     {
         Directory listing(this->clock);
-        std::vector<ServerEntry> listed;
-        for (int i = 0; i < 10; ++i)
-            listed.push_back(testing::makeServerEntry("s" + std::to_string(i)));
+        std::vector<ServerEntry> listed(10);
+        for (std::size_t i = 0; i < listed.size(); ++i)
+            listed[i] = testing::makeServerEntry("s" + std::to_string(i));
         listing.replaceServers(listed, 1);
         paths.serversToProbe(*listing.view(), false);
         for (const ServerEntry& server : listed)
--- a/lovagecross/gateway/ServerPathsTest.cpp
+++ b/lovagecross/gateway/ServerPathsTest.cpp
@@ -27,9 +27,9 @@
 public:
     void setUp() override
     {
-        std::vector<ServerEntry> servers;
+        std::vector<ServerEntry> servers(10);
         for (int i = 0; i < 10; ++i)
-            servers.push_back(makeServer(i));
+            servers[static_cast<std::size_t>(i)] = makeServer(i);
         this->directory.replaceServers(std::move(servers), 1);
     }
 
