--- a/lovagecross/daemon/PlatformNode.cpp
+++ b/lovagecross/daemon/PlatformNode.cpp
@@ -290,10 +290,10 @@
         this->records.start();
         this->directoryFeed.start();
         this->steps.add([this] { return this->follower.step(this->publishers()); });
-        this->gateway.start();
         const NodeSettings& settings = this->base.settings;
         if (!settings.relayAddress.empty())
-            this->startRelaying();
+            this->startRelaying(); // before the first call, which may need it
+        this->gateway.start();
         this->readyListener = std::make_unique<StatusListener>(
             settings.readyAddress, this->base.counters, settings.readyPath, [this] { return this->notReadyReason(); });
         if (!settings.metricsAddress.empty())
