Other entry nodes that fail are tried less and less

A node that was cut off from all others together with its data centre would have tried up to three of them, 0.3 s each, for calls that it could refuse at once, again every 0.7 s. The pause after a failure doubles up to 5 s and ends with a success. Test: RelayTableTest, which fails with a pause that doesn't grow: more than 10 trials in half a minute.

--- a/lovagecross/gateway/CallRunnerRelay.cpp
+++ b/lovagecross/gateway/CallRunnerRelay.cpp
@@ -93,6 +93,7 @@
         return AttemptOutcome::TryNextServer;
     }
     ++this->sends;
+    this->parts.relay->nodes.succeeded(node.address);
     this->parts.counters.relayedAway.add();
     this->learnFromRelay(exchange, sentAt);
     return this->forwardRelayedResponse(found, exchange);
--- a/lovagecross/gateway/RelayTable.cpp
+++ b/lovagecross/gateway/RelayTable.cpp
@@ -19,8 +19,10 @@
         return;
     std::lock_guard lock(this->mutex);
     this->nodes = std::move(known);
-    TimePoint now = this->clock.now();
-    std::erase_if(this->pausedUntil, [now](const auto& entry) { return now >= entry.second; });
+    std::erase_if(this->failures, [this](const auto& entry) {
+        return std::none_of(this->nodes.begin(), this->nodes.end(),
+            [&entry](const RelayNode& node) { return node.address == entry.first; });
+    });
 }
 
 std::vector<RelayNode> RelayTable::choose(std::size_t most)
@@ -30,8 +32,8 @@
     std::uint64_t seed = ++this->random;
     std::vector<RelayNode> usable;
     for (const RelayNode& node : this->nodes) {
-        auto paused = this->pausedUntil.find(node.address);
-        if (paused == this->pausedUntil.end() || now >= paused->second)
+        auto failure = this->failures.find(node.address);
+        if (failure == this->failures.end() || now >= failure->second.until)
             usable.push_back(node);
     }
     std::sort(usable.begin(), usable.end(), [seed](const RelayNode& left, const RelayNode& right) {
@@ -50,7 +52,18 @@
 void RelayTable::failed(const std::string& address)
 {
     std::lock_guard lock(this->mutex);
-    this->pausedUntil[address] = this->clock.now() + failurePause;
+    TimePoint now = this->clock.now();
+    Failure& failure = this->failures[address];
+    if (now < failure.until) // several calls tried it at the same time
+        return;
+    failure.pause = std::clamp<Duration>(failure.pause * 2, failurePause, maxFailurePause);
+    failure.until = now + failure.pause;
+}
+
+void RelayTable::succeeded(const std::string& address)
+{
+    std::lock_guard lock(this->mutex);
+    this->failures.erase(address);
 }
 
 } // namespace lovagecross
