A node that fails again soon after its pause is left out for longer, without state for it

RelayTableTest::nodesThatFailAreTriedLessAndLess fails when the longer pause is made as short as the first one.

--- a/lovagecross/gateway/CallRunnerRelay.cpp
+++ b/lovagecross/gateway/CallRunnerRelay.cpp
@@ -93,7 +93,6 @@
         return AttemptOutcome::TryNextServer;
     }
     ++this->sends;
-    this->parts.relay->nodes.succeeded(node.address);
     this->parts.counters.relayedAway.add();
     this->learnFromRelay(exchange, sentAt);
     return this->forwardRelayedResponse(found, exchange);
--- a/lovagecross/gateway/RelayTable.cpp
+++ b/lovagecross/gateway/RelayTable.cpp
@@ -7,6 +7,15 @@
 
 namespace lovagecross {
 
+namespace {
+
+// A node that fails again soon after its pause is left out for longer, so that a node that is cut off from all others
+// mostly refuses its calls at once.
+constexpr Duration repeatedFailurePause = std::chrono::seconds(5);
+constexpr Duration repeatedFailureWindow = std::chrono::seconds(2); // from the end of the pause before
+
+} // namespace
+
 RelayTable::RelayTable(const Clock& givenClock)
     : clock(givenClock)
     , random(static_cast<std::uint64_t>(givenClock.now().time_since_epoch().count()))
@@ -19,10 +28,8 @@
         return;
     std::lock_guard lock(this->mutex);
     this->nodes = std::move(known);
-    std::erase_if(this->failures, [this](const auto& entry) {
-        return std::none_of(this->nodes.begin(), this->nodes.end(),
-            [&entry](const RelayNode& node) { return node.address == entry.first; });
-    });
+    TimePoint now = this->clock.now();
+    std::erase_if(this->pausedUntil, [now](const auto& entry) { return now - entry.second >= repeatedFailureWindow; });
 }
 
 std::vector<RelayNode> RelayTable::choose(std::size_t most)
@@ -32,8 +39,8 @@
     std::uint64_t seed = ++this->random;
     std::vector<RelayNode> usable;
     for (const RelayNode& node : this->nodes) {
-        auto failure = this->failures.find(node.address);
-        if (failure == this->failures.end() || now >= failure->second.until)
+        auto paused = this->pausedUntil.find(node.address);
+        if (paused == this->pausedUntil.end() || now >= paused->second)
             usable.push_back(node);
     }
     std::sort(usable.begin(), usable.end(), [seed](const RelayNode& left, const RelayNode& right) {
@@ -53,17 +60,11 @@
 {
     std::lock_guard lock(this->mutex);
     TimePoint now = this->clock.now();
-    Failure& failure = this->failures[address];
-    if (now < failure.until) // several calls tried it at the same time
-        return;
-    failure.pause = std::clamp<Duration>(failure.pause * 2, failurePause, maxFailurePause);
-    failure.until = now + failure.pause;
-}
-
-void RelayTable::succeeded(const std::string& address)
-{
-    std::lock_guard lock(this->mutex);
-    this->failures.erase(address);
+    auto before = this->pausedUntil.find(address);
+    if (before == this->pausedUntil.end() || now - before->second >= repeatedFailureWindow)
+        this->pausedUntil[address] = now + failurePause;
+    else if (now >= before->second) // else another call has just found out
+        before->second = now + repeatedFailurePause;
 }
 
 } // namespace lovagecross
--- a/lovagecross/gateway/RelayTable.h
+++ b/lovagecross/gateway/RelayTable.h
@@ -33,24 +33,16 @@
 
     bool empty() const;
 
-    // The node could not be reached, or takes no relayed calls now. It is left out for a pause, which doubles with each
-    // failure in a row, so that a node that is cut off from the others as well soon stops trying them.
+    // The node could not be reached, or takes no relayed calls now.
     void failed(const std::string& address);
-    void succeeded(const std::string& address);
 
     static constexpr Duration failurePause = std::chrono::milliseconds(700);
-    static constexpr Duration maxFailurePause = std::chrono::seconds(5);
 
 private:
-    struct Failure {
-        Duration pause { 0 };
-        TimePoint until;
-    };
-
     const Clock& clock;
     mutable std::mutex mutex;
     std::vector<RelayNode> nodes;
-    std::map<std::string, Failure> failures; // by address
+    std::map<std::string, TimePoint> pausedUntil; // by address
     std::uint64_t random;
 };
 
--- a/lovagecross/gateway/RelayTableTest.cpp
+++ b/lovagecross/gateway/RelayTableTest.cpp
@@ -7,7 +7,7 @@
 class RelayTableTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(RelayTableTest);
     CPPUNIT_TEST(nodesThatFailAreTriedLessAndLess);
-    CPPUNIT_TEST(successEndsThePause);
+    CPPUNIT_TEST(singleFailuresPauseShortly);
     CPPUNIT_TEST(emptyListKeepsTheNodes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -29,23 +29,21 @@
             this->clock.advance(std::chrono::milliseconds(100));
             relays.replace({ { "10.0.0.1:80", "a" } });
         }
-        CPPUNIT_ASSERT(tried >= 6 && tried <= 10);
+        CPPUNIT_ASSERT(tried >= 5 && tried <= 10);
     }
 
-    // Guards against a node that is left out for long because of an earlier outage.
-    void successEndsThePause()
+    // Guards against a node that is left out for long because of a failure some time ago.
+    void singleFailuresPauseShortly()
     {
         RelayTable relays(this->clock);
         relays.replace({ { "10.0.0.1:80", "a" } });
         for (int i = 0; i < 4; ++i) {
             relays.failed("10.0.0.1:80");
-            this->clock.advance(RelayTable::maxFailurePause);
+            CPPUNIT_ASSERT(relays.choose(1).empty());
+            this->clock.advance(RelayTable::failurePause);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), relays.choose(1).size());
+            this->clock.advance(std::chrono::seconds(3));
         }
-        relays.succeeded("10.0.0.1:80");
-        relays.failed("10.0.0.1:80");
-        CPPUNIT_ASSERT(relays.choose(1).empty());
-        this->clock.advance(RelayTable::failurePause);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), relays.choose(1).size());
     }
 
     // Guards against a node that forgets the others when it can ask nobody for them.
--- a/lovagecross/gateway/RelayTest.cpp
+++ b/lovagecross/gateway/RelayTest.cpp
@@ -141,7 +141,7 @@
             std::string response = this->sendToStranded(post(path, "r1", "x"));
             CPPUNIT_ASSERT_MESSAGE(response, contains(response, "HTTP/1.1 502"));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(path, before + 1, total());
-            std::this_thread::sleep_for(RelayTable::failurePause * 2 + milliseconds(20));
+            std::this_thread::sleep_for(RelayTable::failurePause + milliseconds(20));
         }
         std::string response = this->sendToStranded(get("/safe/", "r2"));
         CPPUNIT_ASSERT_MESSAGE(response, contains(response, "HTTP/1.1 502"));
