Log why a response that had begun was ended

What operators saw: a call that ends with broken_off may have been cut by its server, because of silence, by the deadline, or by the record nodes, and all look the same; a call that a planned stop cuts has no line of its own.

Change: the line of a call has the cause and the time since the last event, a counter for each cause, and a stop that cuts calls logs the id of each. A line may have 40 fields instead of 32, as that of a turn with all of them came near the limit.

--- a/lovagecross/adapters/Log.h
+++ b/lovagecross/adapters/Log.h
@@ -21,7 +21,7 @@
 namespace lovagecross {
 
 inline constexpr std::size_t maxLogValueBytes = 256;
-inline constexpr std::size_t maxLogFields = 32; // further fields are discarded
+inline constexpr std::size_t maxLogFields = 40; // further fields are discarded
 
 enum class LogTarget {
     StandardError, // unbuffered
--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -24,6 +24,7 @@
 constexpr const char* streamGroupPrefix = "stream:"; // of the records of a stream that belongs to no program
 
 constexpr int statusBudgetExhausted = 402;
+constexpr std::string_view brokenOffOutcome = "broken_off"; // in the log line of a call
 
 bool acceptsCalls(const ServerEntry& server)
 {
@@ -104,9 +105,7 @@
         this->logCall("caller_left", 0);
         return AfterCall::Close;
     case AttemptOutcome::Truncated:
-        this->parts.counters.failed.add();
-        this->logCall("broken_off", 0);
-        return AfterCall::Close;
+        return this->finishBrokenStream();
     case AttemptOutcome::Refused:
         return *this->refusal;
     case AttemptOutcome::TryNextServer:
@@ -296,11 +295,8 @@
 // Ends a call after its last attempt has failed.
 AfterCall CallRunner::finishFailedCall()
 {
-    if (this->headWritten) {
-        this->parts.counters.failed.add();
-        this->logCall("broken_off", 0);
-        return AfterCall::Close;
-    }
+    if (this->headWritten)
+        return this->finishBrokenStream();
     if (this->mayHaveRun == 0 && this->sends == 0 && this->isTakeUp() && !this->nextPermitIn)
         return this->refuse(503, "no server of the stream's version", longRetryAfter);
     if (this->mayHaveRun == 0 && this->sends == 0 && this->nextPermitIn)
@@ -313,6 +309,16 @@
     return this->refuse(late ? 504 : 502, late ? "no answer in time" : "the server did not answer whole");
 }
 
+AfterCall CallRunner::finishBrokenStream()
+{
+    if (this->timeLeft() <= detail::minTimeToSend)
+        this->breakCause = BreakCause::Deadline;
+    this->parts.counters.failed.add();
+    this->parts.counters.brokenOff.at(this->breakCause)->add();
+    this->logCall(brokenOffOutcome, 0);
+    return AfterCall::Close;
+}
+
 HeaderList CallRunner::forwardedFields(const ResponseHead& response)
 {
     HeaderList headers;
@@ -379,6 +385,9 @@
         line.field("resumptions", this->resumptions);
     if (!this->lastFailure.empty())
         line.field("lastFailure", this->lastFailure);
+    if (outcome == brokenOffOutcome)
+        line.field("cause", breakCauseNames.name(this->breakCause))
+            .field("silenceMs", toMillis(now - this->lastEventAt));
     if (this->sends > 0)
         line.field("beforeSendMs", toMillis(this->firstSendAt - this->receivedAt));
     if (this->completionDelay)
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -52,6 +52,8 @@
 
     AfterCall run();
 
+    const std::string& requestId() const { return this->call.requestId; }
+
 private:
     // State of the call after an attempt.
     enum class AttemptOutcome {
@@ -113,6 +115,7 @@
     ServerRequest makeRequest(const Route& route, const ServerEntry& server) const;
     AfterCall refuse(int status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt);
     AfterCall finishFailedCall();
+    AfterCall finishBrokenStream();
     AttemptOutcome writeResponse(const ResponseHead& head, std::string_view content);
     bool writeStreamHead();
     static HeaderList forwardedFields(const ResponseHead& response);
@@ -149,6 +152,7 @@
     std::int64_t lastServerStarted = 0;
     std::string lastVersion; // software version of that server
     std::string lastFailure;
+    BreakCause breakCause = BreakCause::Server; // unless the deadline has passed
     TimePoint firstSendAt;
 
     // Response stream so far
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -58,6 +58,7 @@
             break;
         if (this->versionIsFixed() && this->parts.directory.registryAge() > maxListAgeToContinue) {
             this->lastFailure = "server_list_too_old";
+            this->breakCause = BreakCause::NoServer;
             break;
         }
         // Read anew for each attempt: a server may have left, or come back with another version, since the last one.
@@ -252,6 +253,7 @@
     if (end == ExchangeStatus::NotSent)
         return AttemptOutcome::TryNextServer;
     ++this->mayHaveRun;
+    this->breakCause = end == ExchangeStatus::TimedOut ? BreakCause::Silence : BreakCause::Server;
     return this->mayRetry(found, end) ? AttemptOutcome::TryNextServer : AttemptOutcome::GiveUp;
 }
 
@@ -407,6 +409,7 @@
         this->parts.counters.turnWrite.record(this->parts.clock.now() - lastByteAt);
         if (!kept) {
             this->lastFailure = "turn_not_kept";
+            this->breakCause = BreakCause::TurnNotKept;
             return AttemptOutcome::Truncated;
         }
     }
--- a/lovagecross/gateway/CallRunnerRelay.cpp
+++ b/lovagecross/gateway/CallRunnerRelay.cpp
@@ -145,6 +145,7 @@
             return AttemptOutcome::CallerLeft;
         if (end != ExchangeStatus::Ok) {
             this->lastFailure = std::string("relayed_stream_") + std::string(exchangeStatusNames.name(end));
+            this->breakCause = BreakCause::OtherNode;
             return AttemptOutcome::Truncated;
         }
     }
--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -76,7 +76,10 @@
             return;
         bodyBytes.set(body.size());
         CallRunner runner(this->parts, this->stream, head, std::move(body), this->headArrivedAt, this->origin);
-        if (runner.run() == AfterCall::Close) {
+        this->setRunningRequest(runner.requestId());
+        AfterCall after = runner.run();
+        this->setRunningRequest({});
+        if (after == AfterCall::Close) {
             this->lingeringClose();
             return;
         }
@@ -95,6 +98,23 @@
     this->stream.shutdown();
 }
 
+void CallerSession::setRunningRequest(const std::string& id)
+{
+    std::lock_guard lock(this->idleMutex);
+    this->runningRequest = id;
+}
+
+void CallerSession::logCutCall() const
+{
+    std::lock_guard lock(this->idleMutex);
+    if (this->runningRequest.empty())
+        return;
+    LogLine(LogLevel::Warning, "call_cut_at_stop")
+        .field("request", this->runningRequest)
+        .field("ms", toMillis(this->parts.clock.now() - this->headArrivedAt))
+        .write();
+}
+
 // Returns false if the connection must close instead of waiting for another request, or was closed while it waited. A
 // request that arrived at that moment is not read; its caller sees a connection closed before any response.
 bool CallerSession::setIdle(bool nowIdle)
--- a/lovagecross/gateway/CallerSession.h
+++ b/lovagecross/gateway/CallerSession.h
@@ -2,7 +2,7 @@
 
 // One caller connection: reads requests one after the other and runs each.
 //
-// Thread safety: `run` is called on one thread; `closeIfIdle` may be called from any thread.
+// Thread safety: `run` is called on one thread; the other members may be called from any thread.
 
 #include "lovagecross/gateway/GatewayContext.h"
 #include "lovagecross/http/ByteStream.h"
@@ -28,6 +28,9 @@
     // first request may arrive.
     void closeIfIdle();
 
+    // Logs the call that is running, if there is one, as cut off because the node stops.
+    void logCutCall() const;
+
 private:
     enum class ReadResult {
         Ok,
@@ -39,6 +42,7 @@
     ReadResult waitForRequest(const CallerLimits& limits);
     ReadResult readBody(const RequestHead& head, std::string& body);
     bool setIdle(bool nowIdle);
+    void setRunningRequest(const std::string& id);
     void refuse(int status, std::string_view reason);
     void lingeringClose();
     CallerLimits limits() const;
@@ -48,7 +52,8 @@
     ByteStream stream;
     const TimePoint openedAt;
     TimePoint headArrivedAt;
-    std::mutex idleMutex;
+    mutable std::mutex idleMutex;
+    std::string runningRequest; // id of the call that is running
     bool idle = true;
     bool closeWhenIdle = false;
     bool closedWhileIdle = false; // by `closeIfIdle`
--- a/lovagecross/gateway/Gateway.cpp
+++ b/lovagecross/gateway/Gateway.cpp
@@ -44,6 +44,8 @@
     , turnWrite(counters.histogram("gateway.keep"))
     , callDuration(counters.histogram("gateway.whole"))
 {
+    for (const auto& [cause, name] : breakCauseNames.entries)
+        this->brokenOff[cause] = &counters.counter("gateway.brokenOff." + std::string(name));
 }
 
 // Registers a session with the gateway while it runs, so that `Gateway::stop` can close its connection.
@@ -174,6 +176,9 @@
     std::size_t left = this->connections();
     if (left > 0)
         LogLine(LogLevel::Warning, "calls_cut_at_stop").field("connections", left).write();
+    std::lock_guard lock(this->mutex);
+    for (const CallerSession* session : this->sessions)
+        session->logCutCall();
 }
 
 void Gateway::closeIdleConnections()
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 // Thread safety: every member may be used from any thread.
 
 #include "lovagecross/adapters/Counters.h"
+#include "lovagecross/base/NameTable.h"
 #include "lovagecross/gateway/Call.h"
 #include "lovagecross/gateway/ConnectionPool.h"
 #include "lovagecross/gateway/Directory.h"
@@ -16,9 +17,29 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 
 namespace lovagecross {
 
+// Why a response that had begun was ended before it was complete, other than by its caller or by a stop of the node.
+enum class BreakCause {
+    Server, // broke off, or sent something wrong, and no attempt is left
+    Silence, // of the server, with the deadline still ahead
+    Deadline,
+    NoServer, // no server of the stream's version is listed, or the list is too old to tell
+    TurnNotKept, // the record nodes did not store the conversation turn
+    OtherNode, // the node through which the call was sent broke off
+};
+
+inline constexpr NameTable<BreakCause, 6> breakCauseNames { { {
+    { BreakCause::Server, "server" },
+    { BreakCause::Silence, "silence" },
+    { BreakCause::Deadline, "deadline" },
+    { BreakCause::NoServer, "no_server" },
+    { BreakCause::TurnNotKept, "turn_not_kept" },
+    { BreakCause::OtherNode, "other_node" },
+} } };
+
 struct GatewayCounters {
     explicit GatewayCounters(Counters& counters);
 
@@ -29,6 +50,7 @@
     Counter& callersLeft;
     Counter& sends;
     Counter& streamsResumed;
+    std::map<BreakCause, Counter*> brokenOff; // responses that had begun
     Counter& serversLeaving; // that said so in an answer
     Counter& relayedAway; // calls sent through another node
     Counter& relayedHere; // calls of other nodes
