Silence of a server no longer ends a stream before its deadline

Cause: an entry node took 0.6 s without an event, or 1 s without the first one, for a failure that is final. It closed the exchange before it knew whether another server could take the stream. With the attempts used up, with one server of the stream's version, or with a list of servers older than 2 s there was none, and the caller's connection was closed, although the server would have gone on.

Change: SilencePolicy decides in three steps. After 0.6 s (or the silence that the route allows for) a connection to the server is opened, unless one was tried since; a server that accepts none is left then, any other after 1.4 s. It is left only for a server that is already chosen, has its permit and has its version recorded; without one, or in the last attempt, the exchange is waited for until the call's deadline or the caller's end. A stream that has begun and finds no server tries again until the same end, also a silent server that it left; it is ended at once only when a recent list names no server of its version. TimedOut of an exchange ends a wait, and no longer the exchange. The line silent_server has the decision with its inputs.

Evidence: PausingServerTest and SilencePolicyTest. On the code before, the first four tests fail: two attempts cut at 600 ms of silence each, one server of the version cut at 600 ms, a list of 2.1 s (server_list_too_old), and a 502 after 2.0 s. After it all pass; so do the other tests of the gateway.

Why it works: the last exchange that may answer is no longer ended by time. The first server's connection is closed before the next one gets the request, so a stream never runs twice at once, and a run is counted before the next begins, so that max_attempts holds.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -237,22 +237,37 @@
 // event. Returns TryNextServer if the request may be sent to the server.
 CallRunner::AttemptOutcome CallRunner::recordOrigin(const Route& found, const ServerEntry& server)
 {
-    bool recorded = this->origin.revision > 0 && this->origin.softwareVersion == server.softwareVersion;
-    if (!found.resumable || this->versionIsFixed() || recorded)
+    if (!found.resumable || this->versionIsFixed() || this->originIsRecorded(server))
         return AttemptOutcome::TryNextServer;
-    StreamOrigin next { server.softwareVersion, this->origin.revision + 1, server.service };
     if (this->mayHaveRun == 0) {
-        this->refusal = this->reserveTokens(found, next);
+        this->refusal = this->reserveTokens(found, this->nextOrigin(server));
         return this->refusal ? AttemptOutcome::Refused : AttemptOutcome::TryNextServer;
     }
-    Grant reservation = this->parts.budgets.reserve(this->makeGrantRequest(found, next), this->deadline);
-    if (reservation.status != GrantStatus::Granted) {
-        this->lastFailure = "origin_not_recorded";
-        return AttemptOutcome::GiveUp;
-    }
+    if (this->recordNextOrigin(server, this->deadline))
+        return AttemptOutcome::TryNextServer;
+    this->lastFailure = "origin_not_recorded";
+    return AttemptOutcome::GiveUp;
+}
+
+bool CallRunner::originIsRecorded(const ServerEntry& server) const
+{
+    return this->origin.revision > 0 && this->origin.softwareVersion == server.softwareVersion;
+}
+
+StreamOrigin CallRunner::nextOrigin(const ServerEntry& server) const
+{
+    return { server.softwareVersion, this->origin.revision + 1, server.service };
+}
+
+bool CallRunner::recordNextOrigin(const ServerEntry& server, TimePoint by)
+{
+    StreamOrigin next = this->nextOrigin(server);
+    Grant reservation = this->parts.budgets.reserve(this->makeGrantRequest(*this->route, next), by);
+    if (reservation.status != GrantStatus::Granted)
+        return false;
     this->grant->origin = next;
-    this->origin = next;
-    return AttemptOutcome::TryNextServer;
+    this->origin = std::move(next);
+    return true;
 }
 
 void CallRunner::settleTokens()
@@ -387,7 +402,7 @@
         line.field("lastFailure", this->lastFailure);
     if (outcome == brokenOffOutcome)
         line.field("cause", breakCauseNames.name(this->breakCause))
-            .field("silenceMs", toMillis(now - this->lastEventAt));
+            .field("silenceMs", toMillis(now - this->silentSince));
     if (this->sends > 0)
         line.field("beforeSendMs", toMillis(this->firstSendAt - this->receivedAt));
     if (this->completionDelay)
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -11,6 +11,8 @@
 //  - if no byte was sent, or the server confirmed that it did not run the call, another server is tried;
 //  - if the outcome is unknown, only safe calls are sent again, and only resumable streams continue on another server,
 //    after the last event that the caller has received.
+// A server that is silent is a reason to continue a resumable stream elsewhere, not to end it: without another server,
+// or attempt, the call waits until its deadline.
 // The same holds for calls that are sent through another node, which runs them as a whole: it chooses the server, holds
 // the permit and reserves the tokens. A call that came from another node is never passed on to a third one.
 // A 503 response is sent only if the call has not run and will not run.
@@ -20,6 +22,7 @@
 #include "lovagecross/gateway/EventStream.h"
 #include "lovagecross/gateway/GatewayContext.h"
 #include "lovagecross/gateway/ServerExchange.h"
+#include "lovagecross/gateway/SilencePolicy.h"
 #include "lovagecross/http/ByteStream.h"
 #include "lovagecross/http/MessageHead.h"
 
@@ -41,6 +44,21 @@
     Close,
 };
 
+// What a call does when its server has been silent for too long.
+enum class SilenceDecision {
+    Moves, // continues at another server
+    NoOtherServer, // waits, as no other server can take the stream now
+    LastAttempt, // waits, as no other server may run the call
+    GivesUp, // the server can't be reached and the caller has received nothing: ends with an error
+};
+
+inline constexpr NameTable<SilenceDecision, 4> silenceDecisionNames { { {
+    { SilenceDecision::Moves, "moves" },
+    { SilenceDecision::NoOtherServer, "no_other_server" },
+    { SilenceDecision::LastAttempt, "last_attempt" },
+    { SilenceDecision::GivesUp, "gives_up" },
+} } };
+
 class CallRunner {
 public:
     // `requestBody` is the complete body. `receivedAt` is when the last byte of the head arrived.
@@ -81,32 +99,45 @@
     void learnFromRelay(const ServerExchange& exchange, TimePoint sentAt);
     void addRelayFields(HeaderList& headers) const;
 
+    // Silent servers, in CallRunnerSilence.cpp
+    void noteProgress(TimePoint now);
+    Duration usualSilence() const;
+    TimePoint waitUntil() const;
+    bool leavesSilentServer(const ServerEntry& server);
+    bool prepareSuccessor();
+    AttemptOutcome waitForServer(const std::vector<ServerEntry>& servers);
+    bool serverListTooOld() const;
+    void logSilence(const ServerEntry& server, const SilentStream& stream, SilenceDecision decision);
+
     void selectService(const std::string& name);
     bool routeNames(const Route& route, const std::string& name) const;
     AttemptOutcome runAttempts(const Route& route);
+    bool maySendAgain() const;
+    ChoiceRequest choiceRequest() const;
     std::optional<ServerEntry> chooseServer(const ChoiceRequest& request, const std::vector<ServerEntry>& servers);
     std::set<std::string> serversToSkip(const std::vector<ServerEntry>& servers);
     bool obtainPermit(const ServerEntry& server);
     void noteDeniedPermit(Duration retryAfter);
-    bool waitForPermit();
     AttemptOutcome runAttemptIfPermitted(const Route& route, const ServerEntry& server);
     AttemptOutcome runAttempt(const Route& route, const ServerEntry& server);
     void noteLeavingServer(const ServerEntry& server);
     AttemptOutcome handleFailedExchange(const Route& route, ExchangeStatus end);
-    AttemptOutcome handleResponse(const Route& route, ServerExchange& exchange);
+    AttemptOutcome handleResponse(const Route& route, ServerExchange& exchange, const ServerEntry& server);
     AttemptOutcome forwardBufferedResponse(const Route& route, ServerExchange& exchange);
-    AttemptOutcome forwardStream(const Route& route, ServerExchange& exchange);
+    AttemptOutcome forwardStream(const Route& route, ServerExchange& exchange, const ServerEntry& server);
     AttemptOutcome forwardEvents(EventSplitter& splitter);
     AttemptOutcome finishStream(const Route& route);
     bool acceptEvent(const StreamEvent& event, bool& duplicate);
     bool mayRetry(const Route& route, ExchangeStatus end) const;
-    TimePoint stallDeadline(const Route& route) const;
 
     std::optional<AfterCall> prepareTurn(const Route& route);
     std::optional<AfterCall> loadConversation();
     std::optional<AfterCall> reserveTokens(const Route& route, const StreamOrigin& origin);
     std::optional<AfterCall> findOrigin(const Route& route);
     AttemptOutcome recordOrigin(const Route& route, const ServerEntry& server);
+    bool originIsRecorded(const ServerEntry& server) const;
+    StreamOrigin nextOrigin(const ServerEntry& server) const;
+    bool recordNextOrigin(const ServerEntry& server, TimePoint by);
     GrantRequest makeGrantRequest(const Route& route, const StreamOrigin& origin) const;
     bool isTakeUp() const { return this->call.lastEventId.has_value(); }
     bool versionIsFixed() const { return this->isTakeUp() || this->headWritten; }
@@ -143,6 +174,8 @@
 
     // Attempts so far
     std::set<std::string> triedServers;
+    std::set<std::string> failedServers; // of those, the ones that broke off or answered with an error
+    std::optional<ServerEntry> successor; // continues the stream; has its permit
     std::uint32_t sends = 0;
     std::uint32_t mayHaveRun = 0; // sends after which the server may have run the call
     std::uint32_t refusals = 0; // sends that the server confirmed it did not run
@@ -163,7 +196,9 @@
     std::uint64_t resumptions = 0;
     StreamOrigin origin; // as recorded; only servers of its version may continue the stream
     std::string turnOutput; // event data to store with the turn
-    TimePoint lastEventAt;
+    TimePoint silentSince; // the last event, or when the request was sent
+    TimePoint nextSilenceCheck;
+    bool silenceLogged = false;
     // From the last event to the end of the response, including the durable write of the turn.
     std::optional<Duration> completionDelay;
 
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -16,21 +16,11 @@
 
 namespace {
 
-using std::chrono::milliseconds;
-
 constexpr std::size_t maxBufferedResponseBytes = 1024 * 1024; // limit for a response that is not a stream
 constexpr std::size_t maxEventBytes = 256 * 1024; // limit for one event of a stream
 constexpr std::uint32_t maxExtraSends = 2; // allows for servers that confirm that they did not run the call
 constexpr std::uint32_t deniedPermitsToAvoidLimits = 2; // servers without a rate limit are preferred from then on
 constexpr std::uint32_t maxDeniedPermits = 8;
-constexpr Duration maxPermitWait = milliseconds(1500); // since the last event, well before callers give up
-// Minimum time without an event before a resumable stream continues on another server. Well under the two seconds after
-// which callers disconnect, and longer than the pauses of a busy engine.
-constexpr Duration minStallTimeout = milliseconds(600);
-constexpr Duration minFirstEventTimeout = milliseconds(1000);
-// Age of the server list up to which a stream is continued by the versions in it. Older lists are of a node that is out
-// of step with the others, which may have seen servers come back with another version.
-constexpr Duration maxListAgeToContinue = std::chrono::seconds(2);
 
 // Whether the status tells the caller that the call was not executed.
 bool claimsNotExecuted(int status)
@@ -44,34 +34,47 @@
 
 CallRunner::AttemptOutcome CallRunner::runAttempts(const Route& found)
 {
-    ChoiceRequest request;
-    request.engine = this->servedByEngine;
-    request.promptTokens = this->call.promptTokens;
-    if (!this->call.session.empty() && found.kind == CallKind::Streaming)
-        request.affinityHash = stableHash(this->call.session) | 1U;
-    else if (found.sticky && !this->call.affinityKey.empty())
-        request.affinityHash = stableHash(this->call.affinityKey) | 1U;
-    const std::uint32_t mostSends = found.maxAttempts + maxExtraSends;
+    const ChoiceRequest request = this->choiceRequest();
     AttemptOutcome outcome = AttemptOutcome::TryNextServer;
-    while (outcome == AttemptOutcome::TryNextServer && this->sends < mostSends) {
-        if (this->timeLeft() <= detail::minTimeToSend)
-            break;
-        if (this->versionIsFixed() && this->parts.directory.registryAge() > maxListAgeToContinue) {
-            this->lastFailure = "server_list_too_old";
-            this->breakCause = BreakCause::NoServer;
-            break;
+    while (
+        outcome == AttemptOutcome::TryNextServer && this->maySendAgain() && this->timeLeft() > detail::minTimeToSend) {
+        if (this->successor) {
+            outcome = this->runAttempt(found, *std::exchange(this->successor, std::nullopt));
+            continue;
         }
         // Read anew for each attempt: a server may have left, or come back with another version, since the last one.
         auto current = this->parts.directory.view();
-        std::optional<ServerEntry> chosen = this->chooseServer(request, current->serversOf(this->service));
-        if (chosen)
-            outcome = this->runAttemptIfPermitted(found, *chosen);
-        else if (!this->waitForPermit())
-            break;
+        const std::vector<ServerEntry>& servers = current->serversOf(this->service);
+        std::optional<ServerEntry> chosen;
+        if (this->versionIsFixed() && this->serverListTooOld())
+            this->lastFailure = "server_list_too_old";
+        else
+            chosen = this->chooseServer(request, servers);
+        outcome = chosen ? this->runAttemptIfPermitted(found, *chosen) : this->waitForServer(servers);
     }
+    if (this->successor)
+        this->parts.book.finished(*this->successor, CallOutcome::Withheld, Duration(0), {});
     return outcome;
 }
 
+// The number of sends is limited until the response has begun.
+bool CallRunner::maySendAgain() const
+{
+    return this->headWritten || this->sends < this->route->maxAttempts + maxExtraSends;
+}
+
+ChoiceRequest CallRunner::choiceRequest() const
+{
+    ChoiceRequest request;
+    request.engine = this->servedByEngine;
+    request.promptTokens = this->call.promptTokens;
+    if (!this->call.session.empty() && this->route->kind == CallKind::Streaming)
+        request.affinityHash = stableHash(this->call.session) | 1U;
+    else if (this->route->sticky && !this->call.affinityKey.empty())
+        request.affinityHash = stableHash(this->call.affinityKey) | 1U;
+    return request;
+}
+
 // Chooses among the servers of the stream's version, and among all if it has no event yet and that version has none.
 std::optional<ServerEntry> CallRunner::chooseServer(
     const ChoiceRequest& request, const std::vector<ServerEntry>& servers)
@@ -95,14 +98,8 @@
         this->parts.book.finished(server, CallOutcome::Withheld, Duration(0), {});
         return outcome;
     }
-    if (!this->obtainPermit(server)) {
-        bool goOn = this->deniedPermits < maxDeniedPermits || this->waitForPermit();
-        return goOn ? AttemptOutcome::TryNextServer : AttemptOutcome::GiveUp;
-    }
-    this->triedServers.insert(server.id);
-    this->lastServer = server.id;
-    this->lastServerStarted = server.startedUnixMillis;
-    this->lastVersion = server.softwareVersion;
+    if (!this->obtainPermit(server))
+        return this->deniedPermits < maxDeniedPermits ? AttemptOutcome::TryNextServer : this->waitForServer({ server });
     return this->runAttempt(found, server);
 }
 
@@ -137,21 +134,6 @@
     return false;
 }
 
-// Waits for the next permit if the response has begun: to break it off costs the caller more than a pause. Returns
-// whether servers should be tried again.
-bool CallRunner::waitForPermit()
-{
-    if (!this->headWritten || !this->nextPermitIn)
-        return false;
-    TimePoint next = this->parts.clock.now() + *this->nextPermitIn;
-    if (next > std::min(this->deadline, this->lastEventAt + maxPermitWait))
-        return false;
-    std::this_thread::sleep_for(*this->nextPermitIn);
-    this->nextPermitIn.reset();
-    this->deniedPermits = 0;
-    return !this->caller.peerClosed();
-}
-
 void CallRunner::noteDeniedPermit(Duration retryAfter)
 {
     this->nextPermitIn = this->nextPermitIn ? std::min(*this->nextPermitIn, retryAfter) : retryAfter;
@@ -178,18 +160,23 @@
 
 CallRunner::AttemptOutcome CallRunner::runAttempt(const Route& found, const ServerEntry& server)
 {
+    this->triedServers.insert(server.id);
+    this->lastServer = server.id;
+    this->lastServerStarted = server.startedUnixMillis;
+    this->lastVersion = server.softwareVersion;
     ++this->sends;
     this->parts.counters.sends.add();
     TimePoint sentAt = this->parts.clock.now();
+    this->noteProgress(sentAt);
     if (this->sends == 1) {
         this->firstSendAt = sentAt;
         this->parts.counters.timeToFirstSend.record(sentAt - this->receivedAt);
     }
     ServerExchange exchange(this->parts.pool, this->parts.codec, this->parts.clock, server, this->caller);
-    TimePoint headBy = found.kind == CallKind::Streaming && found.resumable
-        ? std::min(this->deadline, sentAt + std::max(minFirstEventTimeout, found.targetLatency * 2))
-        : this->deadline;
-    ExchangeStatus end = exchange.start(this->makeRequest(found, server), headBy);
+    ExchangeStatus end = exchange.start(this->makeRequest(found, server), this->waitUntil());
+    while (end == ExchangeStatus::TimedOut && this->parts.clock.now() < this->deadline
+        && !this->leavesSilentServer(server))
+        end = exchange.awaitHead(this->waitUntil());
     TimePoint answeredAt = this->parts.clock.now();
     if (end == ExchangeStatus::Ok && this->parts.relay != nullptr)
         this->parts.relay->paths.heard();
@@ -200,7 +187,8 @@
     AttemptOutcome outcome = AttemptOutcome::TryNextServer;
     CallOutcome callOutcome = CallOutcome::Answered;
     if (end != ExchangeStatus::Ok) {
-        this->lastFailure = exchangeStatusNames.name(end);
+        bool leftSilent = end == ExchangeStatus::TimedOut && answeredAt < this->deadline;
+        this->lastFailure = leftSilent ? "silent" : exchangeStatusNames.name(end);
         outcome = this->handleFailedExchange(found, end);
         callOutcome = end == ExchangeStatus::CallerLeft ? CallOutcome::Abandoned : CallOutcome::Failed;
     } else if (exchange.remarks().notExecuted) {
@@ -211,7 +199,7 @@
             exchange.release();
         callOutcome = CallOutcome::Refused;
     } else {
-        outcome = this->handleResponse(found, exchange);
+        outcome = this->handleResponse(found, exchange, server);
         if (outcome == AttemptOutcome::CallerLeft)
             callOutcome = CallOutcome::Abandoned;
         else if (outcome != AttemptOutcome::Completed)
@@ -253,7 +241,8 @@
     if (end == ExchangeStatus::NotSent)
         return AttemptOutcome::TryNextServer;
     ++this->mayHaveRun;
-    this->breakCause = end == ExchangeStatus::TimedOut ? BreakCause::Silence : BreakCause::Server;
+    if (end == ExchangeStatus::Lost)
+        this->failedServers.insert(this->lastServer);
     return this->mayRetry(found, end) ? AttemptOutcome::TryNextServer : AttemptOutcome::GiveUp;
 }
 
@@ -263,7 +252,8 @@
     return found.repeatable() && !late && this->mayHaveRun < found.maxAttempts;
 }
 
-CallRunner::AttemptOutcome CallRunner::handleResponse(const Route& found, ServerExchange& exchange)
+CallRunner::AttemptOutcome CallRunner::handleResponse(
+    const Route& found, ServerExchange& exchange, const ServerEntry& server)
 {
     int status = exchange.head().status;
     bool success = status >= 200 && status < 300;
@@ -275,11 +265,10 @@
         return this->handleFailedExchange(found, ExchangeStatus::Lost);
     }
     if (success && found.kind == CallKind::Streaming)
-        return this->forwardStream(found, exchange);
+        return this->forwardStream(found, exchange, server);
     if (this->headWritten) { // the resumption of a stream was rejected
         this->lastFailure = "resumption_" + std::to_string(status);
-        ++this->mayHaveRun;
-        return this->mayHaveRun < found.maxAttempts ? AttemptOutcome::TryNextServer : AttemptOutcome::GiveUp;
+        return this->handleFailedExchange(found, ExchangeStatus::Lost);
     }
     return this->forwardBufferedResponse(found, exchange);
 }
@@ -300,16 +289,8 @@
 
 // --- Streams
 
-TimePoint CallRunner::stallDeadline(const Route& found) const
-{
-    if (!found.resumable)
-        return this->deadline;
-    Duration silence = this->eventsWritten == 0 ? std::max(minFirstEventTimeout, found.targetLatency * 2)
-                                                : std::max(minStallTimeout, found.targetEventGap * 3);
-    return std::min(this->deadline, this->lastEventAt + silence);
-}
-
-CallRunner::AttemptOutcome CallRunner::forwardStream(const Route& found, ServerExchange& exchange)
+CallRunner::AttemptOutcome CallRunner::forwardStream(
+    const Route& found, ServerExchange& exchange, const ServerEntry& server)
 {
     if (!this->headWritten) {
         this->streamHead = exchange.head();
@@ -317,17 +298,24 @@
         ++this->resumptions;
         this->parts.counters.streamsResumed.add();
     }
-    this->lastEventAt = this->parts.clock.now();
     EventSplitter splitter;
     for (;;) {
         std::string content;
-        ExchangeStatus end = exchange.readSome(content, this->stallDeadline(found));
+        ExchangeStatus end = exchange.readSome(content, this->waitUntil());
         splitter.add(content);
         if (!content.empty() && this->parts.relay != nullptr)
             this->parts.relay->paths.heard();
         AttemptOutcome outcome = this->forwardEvents(splitter);
         if (outcome != AttemptOutcome::TryNextServer)
             return outcome;
+        // Also after bytes that were no event: they must not keep a stream at a server that makes no progress.
+        bool mayWait = end == ExchangeStatus::Ok || end == ExchangeStatus::TimedOut;
+        if (mayWait && !exchange.complete() && this->leavesSilentServer(server)) {
+            this->lastFailure = "stream_silent";
+            return this->handleFailedExchange(found, ExchangeStatus::TimedOut);
+        }
+        if (end == ExchangeStatus::TimedOut && this->parts.clock.now() < this->deadline)
+            continue;
         if (end != ExchangeStatus::Ok) {
             this->lastFailure = std::string("stream_") + std::string(exchangeStatusNames.name(end));
             return this->handleFailedExchange(found, end);
@@ -370,9 +358,9 @@
     }
     if (events.empty())
         return AttemptOutcome::TryNextServer;
-    if (count > 0) // events without data are no progress, and must not keep a stalled stream open
-        this->lastEventAt = this->parts.clock.now();
     this->eventsWritten += count;
+    if (count > 0) // events without data are no progress, and must not keep a stalled stream open
+        this->noteProgress(this->parts.clock.now());
     if (!this->headWritten && !this->writeStreamHead())
         return AttemptOutcome::CallerLeft;
     return this->write(printChunk(events)) ? AttemptOutcome::TryNextServer : AttemptOutcome::CallerLeft;
--- a/lovagecross/gateway/ConnectionPool.cpp
+++ b/lovagecross/gateway/ConnectionPool.cpp
@@ -23,6 +23,7 @@
     : clock(clock)
     , connectTimeout(connectionTimeout)
     , paths(serverPaths)
+    , contacts(clock)
 {
 }
 
@@ -33,15 +34,37 @@
     PooledConnection connection = this->takeIdle(server.id, request, reuse);
     connection.reused = connection.stream != nullptr;
     connection.sentRequests.insert(request);
+    if (!connection.stream)
+        connection.stream = this->connect(server, deadline);
+    return connection;
+}
+
+ServerContact ConnectionPool::findContact(const ServerEntry& server, TimePoint since, TimePoint deadline)
+{
+    if (ServerContact known = this->contactSince(server, since); known != ServerContact::Unknown)
+        return known;
+    PooledConnection connection;
+    connection.stream = this->connect(server, deadline);
     if (connection.stream)
-        return connection;
+        this->keep(server, std::move(connection), maxFreshIdleTime);
+    return this->contactSince(server, since);
+}
+
+ServerContact ConnectionPool::contactSince(const ServerEntry& server, TimePoint since) const
+{
+    return this->contacts.contactSince(server.id, since);
+}
+
+// Returns nullptr if no connection could be opened.
+std::unique_ptr<ByteStream> ConnectionPool::connect(const ServerEntry& server, TimePoint deadline)
+{
     try {
         Poco::Net::SocketAddress address(server.address);
         TimePoint startedAt = this->clock.now();
         ConnectResult result = connectTo(address, std::min(deadline, startedAt + this->connectTimeout), this->clock);
         this->reportConnect(server, result.status, startedAt);
         if (result.status == IoStatus::Ok)
-            connection.stream = std::make_unique<ByteStream>(result.socket);
+            return std::make_unique<ByteStream>(result.socket);
     } catch (const Poco::Exception& error) { // malformed address, or out of file descriptors
         LogLine(LogLevel::Warning, "connect_failed")
             .field("server", server.id)
@@ -49,18 +72,22 @@
             .field("why", error.displayText())
             .write();
     }
-    return connection;
+    return nullptr;
 }
 
 // A connection that was given up early, because the call's time was over, tells nothing about the server.
 void ConnectionPool::reportConnect(const ServerEntry& server, IoStatus status, TimePoint startedAt)
 {
-    if (this->paths == nullptr)
-        return;
-    if (status == IoStatus::Ok)
-        this->paths->connected(server.id);
-    else if (status == IoStatus::Failed || this->clock.now() - startedAt >= this->connectTimeout)
-        this->paths->connectFailed(server.id);
+    bool failed = status == IoStatus::Failed || this->clock.now() - startedAt >= this->connectTimeout;
+    if (status == IoStatus::Ok) {
+        this->contacts.opened(server.id);
+        if (this->paths != nullptr)
+            this->paths->connected(server.id);
+    } else if (failed) {
+        this->contacts.failed(server.id);
+        if (this->paths != nullptr)
+            this->paths->connectFailed(server.id);
+    }
 }
 
 void ConnectionPool::keep(const ServerEntry& server, PooledConnection connection, Duration keepFor)
@@ -80,6 +107,7 @@
 
 void ConnectionPool::prune(const std::vector<std::string>& serverIds)
 {
+    this->contacts.retain({ serverIds.begin(), serverIds.end() });
     std::vector<IdleConnection> dropped;
     std::lock_guard lock(this->mutex);
     TimePoint now = this->clock.now();
--- a/lovagecross/gateway/ConnectionPool.h
+++ b/lovagecross/gateway/ConnectionPool.h
@@ -9,6 +9,7 @@
 // Thread safety: every member may be called from any thread.
 
 #include "lovagecross/base/Clock.h"
+#include "lovagecross/gateway/ServerContacts.h"
 #include "lovagecross/gateway/ServerEntry.h"
 #include "lovagecross/gateway/ServerPaths.h"
 #include "lovagecross/http/ByteStream.h"
@@ -49,6 +50,13 @@
     // Returns an idle connection to the pool for at most `keepFor`.
     void keep(const ServerEntry& server, PooledConnection connection, Duration keepFor);
 
+    // Whether the server accepts connections, from those that were tried since `since`. If none was, opens one, and
+    // keeps it for a later request.
+    ServerContact findContact(const ServerEntry& server, TimePoint since, TimePoint deadline);
+
+    // The same without opening a connection.
+    ServerContact contactSince(const ServerEntry& server, TimePoint since) const;
+
     static constexpr std::size_t maxRequestsPerConnection = 1000; // then it is closed
 
     // Closes connections to servers that are not listed, and connections whose idle time has expired.
@@ -61,12 +69,14 @@
         TimePoint expiresAt;
     };
 
+    std::unique_ptr<ByteStream> connect(const ServerEntry& server, TimePoint deadline);
     void reportConnect(const ServerEntry& server, IoStatus status, TimePoint startedAt);
     PooledConnection takeIdle(const std::string& serverId, std::uint64_t request, Reuse reuse);
 
     const Clock& clock;
     const Duration connectTimeout;
     ServerPaths* const paths;
+    ServerContacts contacts;
     mutable std::mutex mutex;
     std::map<std::string, std::vector<IdleConnection>> idle; // by server id, most recently used last
 };
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -24,16 +24,14 @@
 // Why a response that had begun was ended before it was complete, other than by its caller or by a stop of the node.
 enum class BreakCause {
     Server, // broke off, or sent something wrong, and no attempt is left
-    Silence, // of the server, with the deadline still ahead
     Deadline,
-    NoServer, // no server of the stream's version is listed, or the list is too old to tell
+    NoServer, // no server of the stream's version is listed any more
     TurnNotKept, // the record nodes did not store the conversation turn
     OtherNode, // the node through which the call was sent broke off
 };
 
-inline constexpr NameTable<BreakCause, 6> breakCauseNames { { {
+inline constexpr NameTable<BreakCause, 5> breakCauseNames { { {
     { BreakCause::Server, "server" },
-    { BreakCause::Silence, "silence" },
     { BreakCause::Deadline, "deadline" },
     { BreakCause::NoServer, "no_server" },
     { BreakCause::TurnNotKept, "turn_not_kept" },
@@ -51,6 +49,7 @@
     Counter& sends;
     Counter& streamsResumed;
     std::map<BreakCause, Counter*> brokenOff; // responses that had begun
+    Counter& silentServers; // decisions about streams whose server was silent for too long
     Counter& serversLeaving; // that said so in an answer
     Counter& relayedAway; // calls sent through another node
     Counter& relayedHere; // calls of other nodes
--- a/lovagecross/gateway/ServerChoice.h
+++ b/lovagecross/gateway/ServerChoice.h
@@ -40,6 +40,7 @@
     bool engine = false;
     std::uint64_t promptTokens = 0;
     std::uint64_t affinityHash = 0; // of the conversation or object; 0 if the call has none
+    bool usableOnly = false; // choose none rather than a full or suspended server
 };
 
 // State of one server as this node knows it.
--- /dev/null
+++ b/lovagecross/gateway/ServerContacts.cpp
@@ -0,0 +1,37 @@
+#include "lovagecross/gateway/ServerContacts.h"
+
+namespace lovagecross {
+
+ServerContacts::ServerContacts(const Clock& givenClock)
+    : clock(givenClock)
+{
+}
+
+void ServerContacts::opened(const std::string& serverId)
+{
+    std::lock_guard lock(this->mutex);
+    this->lastTries[serverId] = { this->clock.now(), true };
+}
+
+void ServerContacts::failed(const std::string& serverId)
+{
+    std::lock_guard lock(this->mutex);
+    this->lastTries[serverId] = { this->clock.now(), false };
+}
+
+ServerContact ServerContacts::contactSince(const std::string& serverId, TimePoint since) const
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->lastTries.find(serverId);
+    if (found == this->lastTries.end() || found->second.at < since)
+        return ServerContact::Unknown;
+    return found->second.opened ? ServerContact::Accepts : ServerContact::Unreachable;
+}
+
+void ServerContacts::retain(const std::set<std::string>& serverIds)
+{
+    std::lock_guard lock(this->mutex);
+    std::erase_if(this->lastTries, [&](const auto& entry) { return serverIds.count(entry.first) == 0; });
+}
+
+} // namespace lovagecross
--- a/lovagecross/gateway/ServerExchange.cpp
+++ b/lovagecross/gateway/ServerExchange.cpp
@@ -43,23 +43,29 @@
     HeaderList headers = request.headers;
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         headers.set("Content-Length", std::to_string(request.body.size()));
-    std::string bytes = printRequestHead(request.method, request.target, headers);
-    bytes += request.body;
-    ExchangeStatus sent = this->sendAll(bytes, deadline);
-    return sent == ExchangeStatus::Ok ? this->readHead(request, deadline) : sent;
+    this->unsent = printRequestHead(request.method, request.target, headers);
+    this->unsent += request.body;
+    this->requestId = request.requestId;
+    this->toHeadRequest = request.method == "HEAD";
+    return this->awaitHead(deadline);
 }
 
-// Sends the request. A server may respond before it has read a long body; sending then stops, and the connection is not
-// reused.
-ExchangeStatus ServerExchange::sendAll(std::string_view bytes, TimePoint deadline)
+ExchangeStatus ServerExchange::awaitHead(TimePoint deadline)
 {
-    while (!bytes.empty()) {
+    ExchangeStatus sent = this->sendRequest(deadline);
+    return sent == ExchangeStatus::Ok ? this->readHead(deadline) : sent;
+}
+
+// Sends what is left of the request. A server may respond before it has read a long body; sending then stops, and the
+// connection is not reused.
+ExchangeStatus ServerExchange::sendRequest(TimePoint deadline)
+{
+    while (!this->unsent.empty()) {
         std::size_t sent = 0;
-        if (this->stream->sendSome(bytes, sent) != IoStatus::Ok)
+        if (this->stream->sendSome(this->unsent, sent) != IoStatus::Ok)
             return ExchangeStatus::Lost;
-        bytes.remove_prefix(sent);
-        if (bytes.empty())
-            break;
+        this->unsent.erase(0, sent);
+        this->requestSent = this->unsent.empty();
         if (sent > 0)
             continue;
         pollfd item { this->stream->descriptor(), POLLIN | POLLOUT, 0 };
@@ -68,9 +74,8 @@
             return ExchangeStatus::TimedOut;
         ::poll(&item, 1, static_cast<int>(toMillis(left) + 1));
         if ((item.revents & POLLIN) != 0)
-            return ExchangeStatus::Ok;
+            this->unsent.clear();
     }
-    this->requestSent = true;
     return ExchangeStatus::Ok;
 }
 
@@ -91,11 +96,11 @@
     }
 }
 
-ExchangeStatus ServerExchange::readHead(const ServerRequest& request, TimePoint deadline)
+ExchangeStatus ServerExchange::readHead(TimePoint deadline)
 {
-    int skipped = 0;
-    int interimResponses = 0;
     for (;;) {
+        if (ExchangeStatus discarded = this->discardBody(deadline); discarded != ExchangeStatus::Ok)
+            return discarded;
         std::size_t end = this->stream->buffered.find(headEnd);
         if (end == std::string::npos) {
             if (this->streamEnded || this->stream->buffered.size() > maxResponseHeadBytes)
@@ -107,30 +112,29 @@
         std::string bytes = this->stream->buffered.substr(0, end + headEnd.size());
         this->stream->buffered.erase(0, bytes.size());
         bool interim = false;
-        ExchangeStatus taken = this->parseHead(bytes, request.method == "HEAD", interim);
+        ExchangeStatus taken = this->parseHead(bytes, interim);
         if (taken != ExchangeStatus::Ok)
             return taken;
-        if (interim && ++interimResponses > maxInterimResponses)
+        if (interim && ++this->interimResponses > maxInterimResponses)
             return ExchangeStatus::Lost;
         if (interim)
             continue;
-        if (this->responseRemarks.requestId == request.requestId)
+        if (this->responseRemarks.requestId == this->requestId)
             return ExchangeStatus::Ok;
         // A server that sheds load before it parses the request sends no request id. On a reused connection such a
         // response may belong to an earlier request.
         bool withoutId = this->responseRemarks.requestId.empty();
-        if (withoutId && this->responseRemarks.notExecuted && !this->reused && skipped == 0)
+        if (withoutId && this->responseRemarks.notExecuted && !this->reused && this->skippedResponses == 0)
             return ExchangeStatus::Ok;
-        if (withoutId || ++skipped > maxSkippedResponses)
+        if (withoutId || ++this->skippedResponses > maxSkippedResponses)
             return ExchangeStatus::Lost;
-        if (ExchangeStatus discarded = this->discardBody(deadline); discarded != ExchangeStatus::Ok)
-            return discarded;
+        this->discarding = true;
     }
 }
 
-ExchangeStatus ServerExchange::parseHead(std::string_view bytes, bool toHeadRequest, bool& interim)
+ExchangeStatus ServerExchange::parseHead(std::string_view bytes, bool& interim)
 {
-    std::optional<ResponseHead> parsed = parseResponseHead(bytes, toHeadRequest);
+    std::optional<ResponseHead> parsed = parseResponseHead(bytes, this->toHeadRequest);
     if (!parsed)
         return ExchangeStatus::Lost;
     interim = parsed->status < 200;
@@ -141,12 +145,18 @@
     return ExchangeStatus::Ok;
 }
 
+// Skips the rest of the body of a response to an earlier request.
 ExchangeStatus ServerExchange::discardBody(TimePoint deadline)
 {
+    if (!this->discarding)
+        return ExchangeStatus::Ok;
     std::string content;
     ExchangeStatus end = this->readAll(content, maxDiscardedBodyBytes, deadline);
+    if (end != ExchangeStatus::Ok)
+        return end;
+    this->discarding = false;
     bool closesConnection = this->response.framing.kind == BodyFraming::UntilClose || !this->response.keepAlive;
-    return end == ExchangeStatus::Ok && closesConnection ? ExchangeStatus::Lost : end;
+    return closesConnection ? ExchangeStatus::Lost : ExchangeStatus::Ok;
 }
 
 ExchangeStatus ServerExchange::readSome(std::string& content, TimePoint deadline)
@@ -175,6 +185,8 @@
     IoStatus status = this->stream->receive();
     if (this->clock.now() >= deadline)
         this->bytesAfterDeadline += this->stream->buffered.size() - before;
+    else
+        this->bytesAfterDeadline = 0;
     if (this->bytesAfterDeadline > maxBytesAfterDeadline)
         return ExchangeStatus::TimedOut;
     if (status == IoStatus::Ok)
--- a/lovagecross/gateway/ServerExchange.h
+++ b/lovagecross/gateway/ServerExchange.h
@@ -4,10 +4,15 @@
 // connection, so that the server is released as soon as the caller disconnects.
 //
 //     ServerExchange exchange(pool, codec, clock, server, caller);
-//     if (exchange.start(request, deadline) == ExchangeStatus::Ok)
+//     ExchangeStatus status = exchange.start(request, deadline);
+//     while (status == ExchangeStatus::TimedOut && ... the response is still wanted ...)
+//         status = exchange.awaitHead(laterDeadline);
+//     if (status == ExchangeStatus::Ok)
 //         ... exchange.head(), exchange.readSome(content, deadline) ...
 //     exchange.release();   // returns the connection to the pool if the response was read completely
 //
+// TimedOut ends only the wait: the exchange can go on with a later deadline.
+//
 // Late responses to earlier requests on a reused connection are recognized by their request id and skipped.
 //
 // Thread safety: not synchronized; one thread at a time.
@@ -61,6 +66,9 @@
     // Sends the request and reads the response head.
     ExchangeStatus start(const ServerRequest& request, TimePoint deadline);
 
+    // Goes on after `start` or `awaitHead` has returned TimedOut.
+    ExchangeStatus awaitHead(TimePoint deadline);
+
     const ResponseHead& head() const { return this->response; }
     const ResponseMetadata& remarks() const { return this->responseRemarks; }
 
@@ -83,9 +91,9 @@
     void release();
 
 private:
-    ExchangeStatus sendAll(std::string_view bytes, TimePoint deadline);
-    ExchangeStatus readHead(const ServerRequest& request, TimePoint deadline);
-    ExchangeStatus parseHead(std::string_view bytes, bool toHeadRequest, bool& interim);
+    ExchangeStatus sendRequest(TimePoint deadline);
+    ExchangeStatus readHead(TimePoint deadline);
+    ExchangeStatus parseHead(std::string_view bytes, bool& interim);
     ExchangeStatus receiveMore(TimePoint deadline);
     ExchangeStatus waitForServer(TimePoint deadline);
     ExchangeStatus discardBody(TimePoint deadline);
@@ -100,7 +108,13 @@
     std::unique_ptr<ByteStream> stream;
     bool reused = false;
     std::unordered_set<std::uint64_t> sentRequests; // on this connection, hashes of their ids
-    bool requestSent = false;
+    std::string requestId;
+    bool toHeadRequest = false;
+    std::string unsent; // rest of the request
+    bool requestSent = false; // completely
+    int skippedResponses = 0; // to earlier requests
+    bool discarding = false; // the body of such a response
+    int interimResponses = 0;
     bool streamEnded = false;
     std::size_t bytesAfterDeadline = 0;
     ResponseHead response;
--- a/lovagecross/gateway/ServerStatistics.cpp
+++ b/lovagecross/gateway/ServerStatistics.cpp
@@ -60,7 +60,7 @@
     ChoiceRequest adjusted = request;
     adjusted.dataCentre = this->dataCentre;
     ServerChoice choice = chooseServer(adjusted, loads, this->settings, nextRandom(this->random));
-    if (!choice.chosen && anySuspended) {
+    if (!choice.chosen && anySuspended && !request.usableOnly) {
         // All servers are suspended: an attempt that may succeed is better than rejecting the call.
         for (ServerLoad& load : loads)
             load.usable = true;
