A turn is stored until the call's deadline, unless this node is cut off

What callers saw: a stream whose events had all arrived was cut without its end when the record nodes and the platform were silent for about a second.

RecordClient::keep gave up as soon as a probe had found no majority (about 0.5 s of silence), and after 1.5 s in any case, with the deadline still ahead.

Change: it tries again until the deadline. Only a node that is cut off from the record nodes gives up earlier, after 1.5 s, longer than a pause, as its callers are served sooner by another node.

Evidence: RecordPauseTest. On the code before, a turn during a pause of 1.2 s of all record nodes and the platform is not stored, and a node that is cut off gives up at once; after it both pass.

--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -28,7 +28,8 @@
 constexpr Duration probeTimeout = milliseconds(200);
 constexpr Duration probeInterval = milliseconds(150); // while no majority answers
 constexpr Duration storeTimeout = milliseconds(300); // before the platform is asked to keep the turn
-constexpr Duration maxKeepDuration = milliseconds(1500);
+constexpr Duration keepRetryInterval = milliseconds(100);
+constexpr Duration maxKeepDurationIfPartitioned = milliseconds(1500); // longer than the pauses of sound record nodes
 constexpr Duration replicaReadTimeout = milliseconds(120); // before other members are asked too
 constexpr Duration readTimeout = milliseconds(500);
 constexpr Duration retryInterval = milliseconds(20);
@@ -479,30 +480,39 @@
     const std::string& group = record.group.empty() ? record.program : record.group;
     StoredTurn turn { record.id, record.previous, record.input, record.output, group,
         expiryOf(record.retention, this->parts.clock) };
-    TimePoint until = std::min(deadline, this->parts.clock.now() + maxKeepDuration);
-    bool kept = false;
-    while (!kept) {
+    TimePoint start = this->parts.clock.now();
+    while (!this->storeOnDisks(turn, deadline) && !this->platform.keepTurn(turn)) {
+        TimePoint now = this->parts.clock.now();
+        // Record nodes that pause are back by then; if only this node is cut off, the caller is served sooner
+        // elsewhere.
+        bool cutOff = this->reachability() == Reachability::Partitioned && now - start >= maxKeepDurationIfPartitioned;
+        if (cutOff || now >= deadline)
+            return false;
+        std::this_thread::sleep_for(std::min<Duration>(keepRetryInterval, deadline - now));
+    }
+    this->cache.add({ record.id, record.previous, record.input + record.output, group });
+    return true;
+}
+
+// Returns whether enough disks have the turn. Tries again at once if this node's roster was outdated.
+bool RecordClient::storeOnDisks(const StoredTurn& turn, TimePoint deadline)
+{
+    auto enough
+        = [this](const Answers& answersSoFar) { return enoughCopies(answersSoFar.accepted, this->settings.tolerance); };
+    for (TimePoint now = this->parts.clock.now(); now < deadline; now = this->parts.clock.now()) {
         Roster roster = this->roster();
-        auto replicas = replicasOf(roster, group, this->settings.tolerance);
-        auto enough = [this](const Answers& answersSoFar) {
-            return enoughCopies(answersSoFar.accepted, this->settings.tolerance);
-        };
-        Duration timeout = std::min<Duration>(until - this->parts.clock.now(), storeTimeout);
+        auto replicas = replicasOf(roster, turn.group, this->settings.tolerance);
+        Duration timeout = std::min<Duration>(deadline - now, storeTimeout);
         Answers answers
             = this->askReplicas(roster, replicas, StoreTurnRequest { roster.epoch, turn }, Fanout { timeout }, enough);
-        kept = enough(answers);
         if (answers.answered < majorityOf(replicas.size()))
             this->recordRoundResult(answers, false, false);
-        if (!kept && answers.epochOutdated && this->parts.clock.now() < until)
-            continue;
-        if (!kept)
-            kept = this->platform.keepTurn(turn);
-        if (this->parts.clock.now() >= until || this->reachability() == Reachability::Partitioned)
-            break; // the caller's next attempt reaches another node
+        if (enough(answers))
+            return true;
+        if (!answers.epochOutdated)
+            return false;
     }
-    if (kept)
-        this->cache.add({ record.id, record.previous, record.input + record.output, group });
-    return kept;
+    return false;
 }
 
 Conversation RecordClient::readConversation(const std::string& id, const std::string& program, TimePoint deadline)
--- a/lovagecross/records/RecordClient.h
+++ b/lovagecross/records/RecordClient.h
@@ -92,6 +92,7 @@
         std::map<std::string, StoredTurn>& found, bool& absent);
     Answers readFrom(const Roster& known, const std::vector<const RosterMember*>& members, const std::string& id,
         Duration timeout, std::map<std::string, StoredTurn>& found);
+    bool storeOnDisks(const StoredTurn& turn, TimePoint deadline);
     void adoptIfNewer(const Roster& roster);
     void updateRoster();
     bool requestRoster(const std::vector<std::string>& addresses);
