A caller that stops reading is waited for until its deadline

What callers saw: a caller that read nothing for a little more than two seconds lost the rest of its response, with its deadline still ahead.

Cause: the same class as the silent servers, on the caller's side: a write that made no progress for 2 s counted as a caller that had left.

Change: a write may wait until the call's deadline, and 2 s at least. A caller that closes its connection is noticed at once, as before.

Evidence: PausingCallerTest; on the code before, the response of 20 MB is cut after 2,032 ms, and after it is whole. A caller that never reads again frees its server at the deadline (4,003 ms of 4,000).

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -18,7 +18,7 @@
 
 constexpr Duration shortRetryAfter = milliseconds(150);
 constexpr Duration longRetryAfter = milliseconds(400);
-constexpr Duration writeTimeout = std::chrono::seconds(2); // limit for a caller that stops reading
+constexpr Duration minWriteTimeout = std::chrono::seconds(2); // for a caller that stops reading, past the deadline too
 // Minimum time for which the origin of a stream is known, longer than callers try to continue it.
 constexpr Duration minOriginRetention = std::chrono::seconds(60);
 constexpr const char* streamGroupPrefix = "stream:"; // of the records of a stream that belongs to no program
@@ -358,7 +358,8 @@
 
 bool CallRunner::write(std::string_view bytes)
 {
-    return this->caller.send(bytes, this->parts.clock.now() + writeTimeout, this->parts.clock) == IoStatus::Ok;
+    TimePoint writeBy = std::max(this->deadline, this->parts.clock.now() + minWriteTimeout);
+    return this->caller.send(bytes, writeBy, this->parts.clock) == IoStatus::Ok;
 }
 
 Duration CallRunner::timeLeft() const
