--- a/lovagecross/gateway/PausingServerTest.cpp
+++ b/lovagecross/gateway/PausingServerTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(streamReturnsToASilentServerIfNoOtherTakesIt);
     CPPUNIT_TEST(streamWaitsForAServerUntilTheCallerLeaves);
     CPPUNIT_TEST(streamOfASilentServerEndsAtTheDeadline);
+    CPPUNIT_TEST(streamGoesOnAfterItsRouteWasRemoved);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration soundPause = milliseconds(1300);
@@ -227,6 +228,27 @@
         CPPUNIT_ASSERT(taken >= milliseconds(2400) && taken < milliseconds(3000));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), this->counters.counter("gateway.brokenOff.deadline").value());
     }
+
+    // Guards against a stream that finds no server because a newer configuration names neither its route nor its
+    // service.
+    void streamGoesOnAfterItsRouteWasRemoved()
+    {
+        std::atomic<int> begun { 0 };
+        this->addServers(2, [&](const ScriptedRequest& request, ScriptedConnection& connection) {
+            if (++begun > 1)
+                return pausesBefore(9)(request, connection);
+            connection.write(streamHead(request) + printChunk(event(1)));
+            GatewayConfiguration next = this->configuration();
+            next.version = 3;
+            next.routes.resize(1);
+            next.services.clear();
+            this->directory->applyConfiguration(std::move(next));
+            connection.reset();
+            return false;
+        });
+        assertWhole(this->sendRequest(post("/stream/", "r", "x")));
+        CPPUNIT_ASSERT_EQUAL(2, begun.load());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PausingServerTest);
