The log lines of relayed calls have their times

Cause: the node that sends a call through another one never set the time of its first send, nor that of the last progress, so its line had beforeSendMs=-1316624 and, when broken off, silenceMs=1316658 for a call that took 34 ms (RelayTest).

Change: both are set. In RelayTest no line has a negative time any more, and the two broken streams have silenceMs=30.

--- a/lovagecross/gateway/CallRunnerRelay.cpp
+++ b/lovagecross/gateway/CallRunnerRelay.cpp
@@ -77,6 +77,8 @@
     request.reuse = found.repeatable() ? Reuse::Any : Reuse::IfRecentlyUsed;
     this->lastServer = node.address;
     TimePoint sentAt = this->parts.clock.now();
+    this->firstSendAt = sentAt;
+    this->noteProgress(sentAt);
     ServerExchange exchange(this->parts.relay->connections, this->parts.codec, this->parts.clock, target, this->caller);
     ExchangeStatus end = exchange.start(request, this->deadline);
     if (end == ExchangeStatus::NotSent || end == ExchangeStatus::Lost)
@@ -140,6 +142,8 @@
     while (!exchange.complete()) {
         std::string content;
         ExchangeStatus end = exchange.readSome(content, this->deadline);
+        if (!content.empty())
+            this->noteProgress(this->parts.clock.now());
         if (!content.empty() && !this->write(printChunk(content)))
             return AttemptOutcome::CallerLeft;
         if (end == ExchangeStatus::CallerLeft)
