An unexpected error in a call gives its caller a response

What callers could see: a connection that closes without a response to a whole request, which promises nothing, although the request may not have been sent at all.

Change: the call ends with 503 if it was not sent to a server or another node, with 502 if it was, and is broken off if its response had begun. The line call_error has the request and the error.

Evidence: UnexpectedErrorTest, with a codec and a store of turns that throw. On the code before, two of its tests get a closed connection for each call; after it all pass.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -7,6 +7,7 @@
 #include "lovagecross/http/BodyDecoder.h"
 
 #include <algorithm>
+#include <exception>
 #include <limits>
 #include <utility>
 
@@ -57,6 +58,15 @@
 }
 
 AfterCall CallRunner::run()
+{
+    try {
+        return this->runCall();
+    } catch (const std::exception& error) {
+        return this->finishAfterError(error.what());
+    }
+}
+
+AfterCall CallRunner::runCall()
 {
     this->parts.counters.calls.add();
     if (this->callOrigin == CallOrigin::Node && !this->mayTakeRelayedCall())
@@ -324,6 +334,24 @@
     return this->refuse(late ? 504 : 502, late ? "no answer in time" : "the server did not answer whole");
 }
 
+// Ends a call in which an unexpected exception was thrown. Its reservation of tokens is not settled, so it counts
+// whole.
+AfterCall CallRunner::finishAfterError(std::string_view error)
+{
+    LogLine(LogLevel::Error, "call_error").field("request", this->call.requestId).field("error", error).write();
+    for (const auto& server : { this->runningAt, this->successor }) {
+        if (server)
+            this->parts.book.finished(*server, CallOutcome::Abandoned, Duration(0), {});
+    }
+    this->closeAfterCall = true;
+    this->lastFailure = "unexpected_error";
+    if (this->wroteToCaller)
+        return this->finishBrokenStream();
+    bool notRun = this->sends == 0 && !this->relayTried;
+    return this->refuse(
+        notRun ? 503 : 502, "an unexpected error occurred", notRun ? std::optional(shortRetryAfter) : std::nullopt);
+}
+
 AfterCall CallRunner::finishBrokenStream()
 {
     if (this->timeLeft() <= detail::minTimeToSend)
@@ -358,6 +386,7 @@
 
 bool CallRunner::write(std::string_view bytes)
 {
+    this->wroteToCaller = true;
     TimePoint writeBy = std::max(this->deadline, this->parts.clock.now() + minWriteTimeout);
     return this->caller.send(bytes, writeBy, this->parts.clock) == IoStatus::Ok;
 }
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -83,6 +83,7 @@
         Refused, // a refusal was written
     };
 
+    AfterCall runCall();
     AfterCall runRouted(const Route& route);
     AfterCall finish(AttemptOutcome outcome);
 
@@ -147,6 +148,7 @@
     AfterCall refuse(int status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt);
     AfterCall finishFailedCall();
     AfterCall finishBrokenStream();
+    AfterCall finishAfterError(std::string_view error);
     AttemptOutcome writeResponse(const ResponseHead& head, std::string_view content);
     bool writeStreamHead();
     static HeaderList forwardedFields(const ResponseHead& response);
@@ -167,6 +169,7 @@
     TimePoint deadline;
     const Route* route = nullptr;
     std::string service; // of the route's services, the one that this call goes to
+    bool wroteToCaller = false;
     std::optional<AfterCall> refusal; // after AttemptOutcome::Refused
     bool closeAfterCall = false; // so that the caller's next call can reach another node
     std::string conversationGroup; // of the preceding turns
@@ -175,8 +178,10 @@
     // Attempts so far
     std::set<std::string> triedServers;
     std::set<std::string> failedServers; // of those, the ones that broke off or answered with an error
+    std::optional<ServerEntry> runningAt; // the server of the attempt that is running
     std::optional<ServerEntry> successor; // continues the stream; has its permit
     std::uint32_t sends = 0;
+    bool relayTried = false; // the call may have been sent to another node
     std::uint32_t mayHaveRun = 0; // sends after which the server may have run the call
     std::uint32_t refusals = 0; // sends that the server confirmed it did not run
     std::uint32_t deniedPermits = 0;
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -160,6 +160,7 @@
 
 CallRunner::AttemptOutcome CallRunner::runAttempt(const Route& found, const ServerEntry& server)
 {
+    this->runningAt = server;
     this->triedServers.insert(server.id);
     this->lastServer = server.id;
     this->lastServerStarted = server.startedUnixMillis;
@@ -205,6 +206,7 @@
         else if (outcome != AttemptOutcome::Completed)
             callOutcome = CallOutcome::Failed;
     }
+    this->runningAt.reset();
     this->parts.book.finished(server, callOutcome, answeredAt - sentAt, this->call.prompt);
     if (outcome != AttemptOutcome::Completed)
         LogLine(LogLevel::Info, "attempt")
--- a/lovagecross/gateway/CallRunnerRelay.cpp
+++ b/lovagecross/gateway/CallRunnerRelay.cpp
@@ -78,6 +78,7 @@
     this->lastServer = node.address;
     TimePoint sentAt = this->parts.clock.now();
     this->firstSendAt = sentAt;
+    this->relayTried = true;
     this->noteProgress(sentAt);
     ServerExchange exchange(this->parts.relay->connections, this->parts.codec, this->parts.clock, target, this->caller);
     ExchangeStatus end = exchange.start(request, this->deadline);
--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -5,6 +5,7 @@
 #include "lovagecross/http/BodyDecoder.h"
 
 #include <algorithm>
+#include <exception>
 #include <sys/socket.h>
 #include <utility>
 
@@ -75,17 +76,29 @@
         if (end != ReadResult::Ok)
             return;
         bodyBytes.set(body.size());
-        CallRunner runner(this->parts, this->stream, head, std::move(body), this->headArrivedAt, this->origin);
-        this->setRunningRequest(runner.requestId());
-        AfterCall after = runner.run();
-        this->setRunningRequest({});
-        if (after == AfterCall::Close) {
+        if (this->runCall(head, std::move(body)) == AfterCall::Close) {
             this->lingeringClose();
             return;
         }
     }
 }
 
+AfterCall CallerSession::runCall(const RequestHead& head, std::string body)
+{
+    std::optional<CallRunner> runner;
+    try {
+        runner.emplace(this->parts, this->stream, head, std::move(body), this->headArrivedAt, this->origin);
+    } catch (const std::exception& error) {
+        LogLine(LogLevel::Error, "call_error").field("error", error.what()).write();
+        this->refuse(503, "an unexpected error occurred");
+        return AfterCall::Close;
+    }
+    this->setRunningRequest(runner->requestId());
+    AfterCall after = runner->run();
+    this->setRunningRequest({});
+    return after;
+}
+
 void CallerSession::closeIfIdle()
 {
     std::lock_guard lock(this->idleMutex);
--- a/lovagecross/gateway/CallerSession.h
+++ b/lovagecross/gateway/CallerSession.h
@@ -4,6 +4,7 @@
 //
 // Thread safety: `run` is called on one thread; the other members may be called from any thread.
 
+#include "lovagecross/gateway/CallRunner.h"
 #include "lovagecross/gateway/GatewayContext.h"
 #include "lovagecross/http/ByteStream.h"
 #include "lovagecross/http/MessageHead.h"
@@ -41,6 +42,7 @@
     ReadResult readHead(RequestHead& head);
     ReadResult waitForRequest(const CallerLimits& limits);
     ReadResult readBody(const RequestHead& head, std::string& body);
+    AfterCall runCall(const RequestHead& head, std::string body);
     bool setIdle(bool nowIdle);
     void setRunningRequest(const std::string& id);
     void refuse(int status, std::string_view reason);
--- a/lovagecross/gateway/GatewayFixture.h
+++ b/lovagecross/gateway/GatewayFixture.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
+#include <stdexcept>
 #include <thread>
 
 namespace lovagecross {
@@ -32,6 +33,8 @@
 public:
     Call decodeCall(const HeaderList& headers) const override
     {
+        if (headers.has("Undecodable"))
+            throw std::runtime_error("unexpected error of a test");
         Call call;
         call.requestId = this->text(headers, "Id");
         call.program = this->text(headers, "Program");
@@ -71,6 +74,8 @@
     }
     ResponseMetadata decodeResponseMetadata(int, const HeaderList& headers) const override
     {
+        if (headers.has("Undecodable"))
+            throw std::runtime_error("unexpected error of a test");
         ResponseMetadata metadata;
         metadata.requestId = this->text(headers, "Id");
         metadata.signedByServer = headers.has("Signed");
@@ -102,6 +107,8 @@
     Conversation readConversation(const std::string& id, const std::string&, TimePoint) override
     {
         std::lock_guard lock(this->mutex);
+        if (this->failsToRead)
+            throw std::runtime_error("unexpected error of a test");
         if (!this->available)
             return { ConversationStatus::Unavailable, {}, 0, milliseconds(70) };
         if (this->tooLong)
@@ -116,6 +123,8 @@
     bool keep(const TurnRecord& record, TimePoint) override
     {
         std::lock_guard lock(this->mutex);
+        if (this->failsToKeep)
+            throw std::runtime_error("unexpected error of a test");
         if (!this->available)
             return false;
         this->kept[record.id] = record;
@@ -157,6 +166,8 @@
     std::mutex mutex;
     bool available = true;
     bool tooLong = false;
+    bool failsToRead = false; // with an exception
+    bool failsToKeep = false;
     std::map<std::string, TurnRecord> kept;
     std::uint64_t used = 0;
     std::set<std::string> reserved; // request ids
