Test fixture: a record node is destroyed only after the requests that others run in it

Cause: LoopbackNetwork called a node without a hold on it, and TestNode::stop destroyed the node while another node's thread was still in that call. The product has no such call: its nodes are processes.

Change: the network counts the requests under way in each node, and the removal of a node waits for them.

Evidence: RecordStoreTest::nodeMayBeDestroyedWhileOthersCallIt stops and starts a node 50 times while another thread stores turns in it.

--- a/lovagecross/records/RecordStoreFixture.h
+++ b/lovagecross/records/RecordStoreFixture.h
@@ -17,15 +17,18 @@
 #include <Poco/TemporaryFile.h>
 #include <algorithm>
 #include <atomic>
+#include <condition_variable>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace lovagecross {
@@ -35,10 +38,14 @@
 // Delivers requests to running nodes unless the sender or the receiver is partitioned.
 class LoopbackNetwork {
 public:
+    // Replaces the node at the address, or removes it if `node` is nullptr. Waits for requests that other threads have
+    // delivered to the node that was there, so that it may be destroyed.
     void put(const std::string& address, RecordNode* node)
     {
-        std::lock_guard lock(this->mutex);
-        this->nodes[address] = node;
+        std::unique_lock lock(this->mutex);
+        RecordNode* former = std::exchange(this->nodes[address], node);
+        this->delivered.wait(lock, [this, former] { return this->requestsUnderWay[former] == 0; });
+        this->requestsUnderWay.erase(former);
     }
     void setPartitioned(const std::string& address, bool partitioned)
     {
@@ -60,16 +67,12 @@
                 = this->partitionedAddresses.count(address) == 0 && this->partitionedAddresses.count(from) == 0;
             if (found != this->nodes.end() && reachable)
                 node = found->second;
+            if (node == nullptr)
+                return { PeerStatus::NoAnswer, {} };
+            ++this->requestsUnderWay[node];
         }
-        const auto* call = std::get_if<RecordCall>(&request);
-        if (node == nullptr || call == nullptr)
-            return { PeerStatus::NoAnswer, {} };
-        auto message = decodeRecordRequest(call->content);
-        if (!message)
-            return { PeerStatus::Rejected, {} };
-        if (from == clientAddress)
-            ++this->clientRequests[message->index()];
-        return { PeerStatus::Ok, RecordReply { encodeRecordResponse(node->handle(*message)) } };
+        RequestUnderWay counted { *this, node };
+        return this->handleAt(*node, from, request);
     }
 
     // Returns how many requests a node or the client has tried to send.
@@ -87,7 +90,36 @@
     }
 
 private:
+    // Ends the count of a request that was delivered to a node.
+    struct RequestUnderWay {
+        LoopbackNetwork& network;
+        RecordNode* node;
+        ~RequestUnderWay()
+        {
+            std::lock_guard lock(this->network.mutex);
+            --this->network.requestsUnderWay[this->node];
+            this->network.delivered.notify_all();
+        }
+    };
+
+    PeerResult handleAt(RecordNode& node, const std::string& from, const PeerRequest& request)
+    {
+        const auto* call = std::get_if<RecordCall>(&request);
+        if (call == nullptr)
+            return { PeerStatus::NoAnswer, {} };
+        auto message = decodeRecordRequest(call->content);
+        if (!message)
+            return { PeerStatus::Rejected, {} };
+        if (from == clientAddress) {
+            std::lock_guard lock(this->mutex);
+            ++this->clientRequests[message->index()];
+        }
+        return { PeerStatus::Ok, RecordReply { encodeRecordResponse(node.handle(*message)) } };
+    }
+
     std::mutex mutex;
+    std::condition_variable delivered; // a request was handled
+    std::map<RecordNode*, int> requestsUnderWay;
     std::map<std::string, int> attemptsBySender;
     std::map<std::size_t, int> clientRequests; // by index of the request's type
     std::map<std::string, RecordNode*> nodes;
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(unexpectedErrorDoesNotEndANode);
     CPPUNIT_TEST(nodesThatStartTogetherJoinWithFewCalls);
     CPPUNIT_TEST(leavingNodeAsksTheOthersAtIntervals);
+    CPPUNIT_TEST(nodeMayBeDestroyedWhileOthersCallIt);
     CPPUNIT_TEST_SUITE_END();
 
     int takeUps = 0;
@@ -510,6 +511,28 @@
         throwing.failing = false;
         CPPUNIT_ASSERT(waitFor([&] { return joining.node->ready(); }));
     }
+
+    // Guards against a fixture that destroys a node in which the thread of another one still runs a request.
+    void nodeMayBeDestroyedWhileOthersCallIt()
+    {
+        std::atomic<bool> ended { false };
+        std::thread other([&] {
+            StoreTurnRequest turn { this->client->roster().epoch, { "t", "", "in;", "out;", "program", 0 } };
+            turn.turn.expiresUnixMillis = this->clock->unixMillis() + 60'000;
+            for (int i = 0; !ended; ++i) {
+                turn.turn.id = "t" + std::to_string(i);
+                this->network.deliver(
+                    "10.0.0.1:9001", this->nodes[2]->settings.address, RecordCall { encodeRecordRequest(turn) });
+            }
+        });
+        for (int i = 0; i < 50; ++i) {
+            this->nodes[2]->stop();
+            this->nodes[2]->start(false);
+        }
+        ended = true;
+        other.join();
+        CPPUNIT_ASSERT(waitFor([this] { return this->allAgreeOnRoster(3); }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordStoreTest);
