A silent server is left only for one that accepts a connection

What callers could see: on a node whose connections to servers live on while new ones are refused, a stream gave up the connection that still worked, found no other, and had to begin again at its server.

Cause: the successor of a silent server was chosen from statistics alone.

Change: a connection to it is opened first, and kept for the request that follows; a server that can't be reached counts as failed, and the stream stays.

--- a/lovagecross/gateway/CallRunnerSilence.cpp
+++ b/lovagecross/gateway/CallRunnerSilence.cpp
@@ -70,8 +70,8 @@
     return leaves;
 }
 
-// Chooses the server that continues the stream, with its permit and its version recorded, before the silent one is
-// left: a stream without a successor is better off where it is.
+// Chooses the server that continues the stream, before the silent one is left: one that accepts connections, with its
+// permit and its version recorded. A stream without a successor is better off where it is.
 bool CallRunner::prepareSuccessor()
 {
     bool listTooOld = this->versionIsFixed() && this->serverListTooOld();
@@ -83,8 +83,12 @@
     std::optional<ServerEntry> chosen = this->chooseServer(request, current->serversOf(this->service));
     if (!chosen)
         return false;
-    if (!this->originIsRecorded(*chosen)
-        && !this->recordNextOrigin(*chosen, std::min(this->deadline, this->parts.clock.now() + originWriteTimeout))) {
+    if (this->parts.pool.findContact(*chosen, this->silentSince, this->deadline) != ServerContact::Accepts) {
+        this->parts.book.finished(*chosen, CallOutcome::Failed, Duration(0), {});
+        return false;
+    }
+    TimePoint recordBy = std::min(this->deadline, this->parts.clock.now() + originWriteTimeout);
+    if (!this->originIsRecorded(*chosen) && !this->recordNextOrigin(*chosen, recordBy)) {
         this->parts.book.finished(*chosen, CallOutcome::Withheld, Duration(0), {});
         return false;
     }
--- a/lovagecross/gateway/PausingServerTest.cpp
+++ b/lovagecross/gateway/PausingServerTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(streamWaitsForAServerUntilTheCallerLeaves);
     CPPUNIT_TEST(streamOfASilentServerEndsAtTheDeadline);
     CPPUNIT_TEST(streamGoesOnAfterItsRouteWasRemoved);
+    CPPUNIT_TEST(silentServerIsNotLeftForOneThatCanNotBeReached);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration soundPause = milliseconds(1300);
@@ -229,6 +230,22 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), this->counters.counter("gateway.brokenOff.deadline").value());
     }
 
+    // Guards against a stream that gives up the only connection that still works, on a node whose new ones are refused.
+    void silentServerIsNotLeftForOneThatCanNotBeReached()
+    {
+        this->addServer(pausesBefore(3, milliseconds(1700)));
+        ServerEntry refusing = this->entries.back();
+        refusing.id = "refusing";
+        refusing.dataCentre = "b"; // so that the first one is preferred
+        Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1", 0));
+        refusing.address = closed.address().toString();
+        closed.close();
+        this->entries.push_back(refusing);
+        this->directory->replaceServers(this->entries, 100);
+        assertWhole(this->sendRequest(post("/stream/", "r", "x")));
+        CPPUNIT_ASSERT_EQUAL(1, this->servers[0]->requests());
+    }
+
     // Guards against a stream that finds no server because a newer configuration names neither its route nor its
     // service.
     void streamGoesOnAfterItsRouteWasRemoved()
