The version of a stream is not changed while its server may still write

What callers could see since: events of two software versions in one response, or over a take-up; and a program could be handed more tokens than its budget.

Cause: before the first event, a silent server's successor of another version was recorded as the origin while the first exchange was still open. When the permit was then denied, or the answer to the record was lost, the first server went on under the other version's name. A record that ended Unavailable also settled the stream's reservation to no tokens, and the first settlement is final.

Change: a successor must be of the recorded version. Another version is tried only after the exchange has ended, as before.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -253,7 +253,7 @@
         this->refusal = this->reserveTokens(found, this->nextOrigin(server));
         return this->refusal ? AttemptOutcome::Refused : AttemptOutcome::TryNextServer;
     }
-    if (this->recordNextOrigin(server, this->deadline))
+    if (this->recordNextOrigin(server))
         return AttemptOutcome::TryNextServer;
     this->lastFailure = "origin_not_recorded";
     return AttemptOutcome::GiveUp;
@@ -269,10 +269,11 @@
     return { server.softwareVersion, this->origin.revision + 1, server.service };
 }
 
-bool CallRunner::recordNextOrigin(const ServerEntry& server, TimePoint by)
+// Must be called only after the connection to a server of the former version has been closed.
+bool CallRunner::recordNextOrigin(const ServerEntry& server)
 {
     StreamOrigin next = this->nextOrigin(server);
-    Grant reservation = this->parts.budgets.reserve(this->makeGrantRequest(*this->route, next), by);
+    Grant reservation = this->parts.budgets.reserve(this->makeGrantRequest(*this->route, next), this->deadline);
     if (reservation.status != GrantStatus::Granted)
         return false;
     this->grant->origin = next;
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -138,7 +138,7 @@
     AttemptOutcome recordOrigin(const Route& route, const ServerEntry& server);
     bool originIsRecorded(const ServerEntry& server) const;
     StreamOrigin nextOrigin(const ServerEntry& server) const;
-    bool recordNextOrigin(const ServerEntry& server, TimePoint by);
+    bool recordNextOrigin(const ServerEntry& server);
     GrantRequest makeGrantRequest(const Route& route, const StreamOrigin& origin) const;
     bool isTakeUp() const { return this->call.lastEventId.has_value(); }
     bool versionIsFixed() const { return this->isTakeUp() || this->headWritten; }
--- a/lovagecross/gateway/CallRunnerSilence.cpp
+++ b/lovagecross/gateway/CallRunnerSilence.cpp
@@ -17,8 +17,6 @@
 
 constexpr Duration serverRetryInterval = milliseconds(100); // of a stream that waits for a server
 constexpr Duration callerCheckInterval = milliseconds(50);
-// Limit for recording another version as the origin of a stream whose first server is silent.
-constexpr Duration originWriteTimeout = milliseconds(300);
 // Age of the server list up to which a stream is continued by the versions in it. Older lists are of a node that is out
 // of step with the others, which may have seen servers come back with another version.
 constexpr Duration maxListAgeToContinue = std::chrono::seconds(2);
@@ -71,7 +69,7 @@
 }
 
 // Chooses the server that continues the stream, before the silent one is left: one that accepts connections, with its
-// permit and its version recorded. A stream without a successor is better off where it is.
+// permit, and of the recorded version. A stream without a successor is better off where it is.
 bool CallRunner::prepareSuccessor()
 {
     bool listTooOld = this->versionIsFixed() && this->serverListTooOld();
@@ -87,8 +85,8 @@
         this->parts.book.finished(*chosen, CallOutcome::Failed, Duration(0), {});
         return false;
     }
-    TimePoint recordBy = std::min(this->deadline, this->parts.clock.now() + originWriteTimeout);
-    if (!this->originIsRecorded(*chosen) && !this->recordNextOrigin(*chosen, recordBy)) {
+    // Another version may be recorded only once no server of the former one can write any more.
+    if (!this->originIsRecorded(*chosen)) {
         this->parts.book.finished(*chosen, CallOutcome::Withheld, Duration(0), {});
         return false;
     }
