A caller that leaves during a long upload to a silent server is noticed

What servers could see: work for a caller that had left.

Change: the wait for room to send also watches the caller.

--- a/lovagecross/gateway/ServerExchange.cpp
+++ b/lovagecross/gateway/ServerExchange.cpp
@@ -68,13 +68,19 @@
         this->requestSent = this->unsent.empty();
         if (sent > 0)
             continue;
-        pollfd item { this->stream->descriptor(), POLLIN | POLLOUT, 0 };
         Duration left = deadline - this->clock.now();
         if (left <= Duration(0))
             return ExchangeStatus::TimedOut;
-        ::poll(&item, 1, static_cast<int>(toMillis(left) + 1));
-        if ((item.revents & POLLIN) != 0)
+        std::array<pollfd, 2> items { { { this->stream->descriptor(), POLLIN | POLLOUT, 0 },
+            { this->caller.descriptor(), POLLIN, 0 } } };
+        ::poll(items.data(), this->watchCaller ? 2 : 1, static_cast<int>(toMillis(left) + 1));
+        if ((items[0].revents & POLLIN) != 0)
             this->unsent.clear();
+        if (items[1].revents == 0)
+            continue;
+        if (this->caller.peerClosed())
+            return ExchangeStatus::CallerLeft;
+        this->watchCaller = false; // the caller's next request has arrived
     }
     return ExchangeStatus::Ok;
 }
