--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -28,7 +28,8 @@
 constexpr Duration probeTimeout = milliseconds(200);
 constexpr Duration probeInterval = milliseconds(150); // while no majority answers
 constexpr Duration storeTimeout = milliseconds(300); // before the platform is asked to keep the turn
-constexpr Duration keepRetryInterval = milliseconds(100);
+constexpr Duration minKeepRetryInterval = milliseconds(50); // doubled after each attempt to store a turn
+constexpr Duration maxKeepRetryInterval = milliseconds(400);
 constexpr Duration maxKeepDurationIfPartitioned = milliseconds(1500); // longer than the pauses of sound record nodes
 constexpr Duration replicaReadTimeout = milliseconds(120); // before other members are asked too
 constexpr Duration readTimeout = milliseconds(500);
@@ -481,6 +482,7 @@
     StoredTurn turn { record.id, record.previous, record.input, record.output, group,
         expiryOf(record.retention, this->parts.clock) };
     TimePoint start = this->parts.clock.now();
+    Duration pause = minKeepRetryInterval;
     while (!this->storeOnDisks(turn, deadline) && !this->platform.keepTurn(turn)) {
         TimePoint now = this->parts.clock.now();
         // Record nodes that pause are back by then; if only this node is cut off, the caller is served sooner
@@ -488,7 +490,8 @@
         bool cutOff = this->reachability() == Reachability::Partitioned && now - start >= maxKeepDurationIfPartitioned;
         if (cutOff || now >= deadline)
             return false;
-        std::this_thread::sleep_for(std::min<Duration>(keepRetryInterval, deadline - now));
+        std::this_thread::sleep_for(std::min<Duration>(pause, deadline - now));
+        pause = std::min(pause * 2, maxKeepRetryInterval);
     }
     this->cache.add({ record.id, record.previous, record.input + record.output, group });
     return true;
--- a/lovagecross/records/RecordPauseTest.cpp
+++ b/lovagecross/records/RecordPauseTest.cpp
@@ -35,8 +35,8 @@
     void turnIsStoredAfterAPauseOfAllRecordNodes()
     {
         this->setRecordNodesPartitioned(true);
-        std::thread end([this] {
-            std::this_thread::sleep_for(milliseconds(1200));
+        std::thread end([this] { // as soon as the client takes itself for cut off
+            waitFor([this] { return this->client->reachability() == Reachability::Partitioned; });
             this->setRecordNodesPartitioned(false);
         });
         Duration taken;
