An unexpected error takes back every running call that was counted

What callers could see: a server that gets no calls any more, because errors between its choice and its attempt (while tokens are reserved, or a permit is obtained) left its count of running calls raised.

Change: a call keeps the servers at which it is counted, from the choice to the end of the count.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -340,10 +340,8 @@
 AfterCall CallRunner::finishAfterError(std::string_view error)
 {
     LogLine(LogLevel::Error, "call_error").field("request", this->call.requestId).field("error", error).write();
-    for (const auto& server : { this->runningAt, this->successor }) {
-        if (server)
-            this->parts.book.finished(*server, CallOutcome::Abandoned, Duration(0), {});
-    }
+    for (const ServerEntry& server : this->countedAt)
+        this->parts.book.finished(server, CallOutcome::Abandoned, Duration(0), {});
     this->closeAfterCall = true;
     this->lastFailure = "unexpected_error";
     if (this->wroteToCaller)
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -30,6 +30,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lovagecross {
 
@@ -116,6 +117,9 @@
     bool maySendAgain() const;
     ChoiceRequest choiceRequest() const;
     std::optional<ServerEntry> chooseServer(const ChoiceRequest& request, const std::vector<ServerEntry>& servers);
+    std::optional<ServerEntry> chooseAndCount(
+        const ChoiceRequest& request, const std::vector<ServerEntry>& servers);
+    void endCount(const ServerEntry& server, CallOutcome outcome, Duration taken = Duration(0));
     std::set<std::string> serversToSkip(const std::vector<ServerEntry>& servers);
     bool obtainPermit(const ServerEntry& server);
     void noteDeniedPermit(Duration retryAfter);
@@ -178,7 +182,7 @@
     // Attempts so far
     std::set<std::string> triedServers;
     std::set<std::string> failedServers; // of those, the ones that broke off or answered with an error
-    std::optional<ServerEntry> runningAt; // the server of the attempt that is running
+    std::vector<ServerEntry> countedAt; // servers that count a running call of this one
     std::optional<ServerEntry> successor; // continues the stream; has its permit
     std::uint32_t sends = 0;
     bool relayTried = false; // the call may have been sent to another node
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -53,7 +53,7 @@
         outcome = chosen ? this->runAttemptIfPermitted(found, *chosen) : this->waitForServer(servers);
     }
     if (this->successor)
-        this->parts.book.finished(*this->successor, CallOutcome::Withheld, Duration(0), {});
+        this->endCount(*this->successor, CallOutcome::Withheld);
     return outcome;
 }
 
@@ -80,14 +80,28 @@
     const ChoiceRequest& request, const std::vector<ServerEntry>& servers)
 {
     if (!this->route->resumable || this->origin.revision == 0)
-        return this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
+        return this->chooseAndCount(request, servers);
     std::vector<ServerEntry> sameVersion;
     std::copy_if(servers.begin(), servers.end(), std::back_inserter(sameVersion),
         [this](const ServerEntry& server) { return server.softwareVersion == this->origin.softwareVersion; });
-    auto chosen = this->parts.book.choose(sameVersion, request, this->call.prompt, this->serversToSkip(sameVersion));
-    if (chosen || this->versionIsFixed())
-        return chosen;
-    return this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
+    auto chosen = this->chooseAndCount(request, sameVersion);
+    return chosen || this->versionIsFixed() ? chosen : this->chooseAndCount(request, servers);
+}
+
+// The chosen server counts a running call of this node until `endCount`.
+std::optional<ServerEntry> CallRunner::chooseAndCount(
+    const ChoiceRequest& request, const std::vector<ServerEntry>& servers)
+{
+    auto chosen = this->parts.book.choose(servers, request, this->call.prompt, this->serversToSkip(servers));
+    if (chosen)
+        this->countedAt.push_back(*chosen);
+    return chosen;
+}
+
+void CallRunner::endCount(const ServerEntry& server, CallOutcome outcome, Duration taken)
+{
+    std::erase_if(this->countedAt, [&server](const ServerEntry& counted) { return counted.id == server.id; });
+    this->parts.book.finished(server, outcome, taken, this->call.prompt);
 }
 
 // Makes an attempt at the chosen server once the origin of the stream is recorded and a permit was obtained.
@@ -95,7 +109,7 @@
 {
     AttemptOutcome outcome = this->recordOrigin(found, server);
     if (outcome != AttemptOutcome::TryNextServer) {
-        this->parts.book.finished(server, CallOutcome::Withheld, Duration(0), {});
+        this->endCount(server, CallOutcome::Withheld);
         return outcome;
     }
     if (!this->obtainPermit(server))
@@ -128,7 +142,7 @@
     Permit permit = this->parts.permits.acquire(server, this->deadline);
     if (permit.granted)
         return true;
-    this->parts.book.finished(server, CallOutcome::Withheld, Duration(0), {});
+    this->endCount(server, CallOutcome::Withheld);
     ++this->deniedPermits;
     this->noteDeniedPermit(permit.retryAfter);
     return false;
@@ -160,7 +174,6 @@
 
 CallRunner::AttemptOutcome CallRunner::runAttempt(const Route& found, const ServerEntry& server)
 {
-    this->runningAt = server;
     this->triedServers.insert(server.id);
     this->lastServer = server.id;
     this->lastServerStarted = server.startedUnixMillis;
@@ -206,8 +219,7 @@
         else if (outcome != AttemptOutcome::Completed)
             callOutcome = CallOutcome::Failed;
     }
-    this->runningAt.reset();
-    this->parts.book.finished(server, callOutcome, answeredAt - sentAt, this->call.prompt);
+    this->endCount(server, callOutcome, answeredAt - sentAt);
     if (outcome != AttemptOutcome::Completed)
         LogLine(LogLevel::Info, "attempt")
             .field("request", this->call.requestId)
--- a/lovagecross/gateway/CallRunnerSilence.cpp
+++ b/lovagecross/gateway/CallRunnerSilence.cpp
@@ -82,12 +82,12 @@
     if (!chosen)
         return false;
     if (this->parts.pool.findContact(*chosen, this->silentSince, this->deadline) != ServerContact::Accepts) {
-        this->parts.book.finished(*chosen, CallOutcome::Failed, Duration(0), {});
+        this->endCount(*chosen, CallOutcome::Failed);
         return false;
     }
     // Another version may be recorded only once no server of the former one can write any more.
     if (!this->originIsRecorded(*chosen)) {
-        this->parts.book.finished(*chosen, CallOutcome::Withheld, Duration(0), {});
+        this->endCount(*chosen, CallOutcome::Withheld);
         return false;
     }
     if (!this->obtainPermit(*chosen))
