A call gives up an unreachable server only for another one

What callers could see since: 502 after 0.9 s, with the deadline ahead, from a call whose only server paused and accepted no connection in time, for instance because its backlog was full.

Change: without an attempt left or another ready server, the call waits.

--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -50,7 +50,7 @@
     Moves, // continues at another server
     NoOtherServer, // waits, as no other server can take the stream now
     LastAttempt, // waits, as no other server may run the call
-    GivesUp, // the server can't be reached and the caller has received nothing: ends with an error
+    GivesUp, // leaves a server that can't be reached for any other one: the caller has received nothing
 };
 
 inline constexpr NameTable<SilenceDecision, 4> silenceDecisionNames { { {
@@ -107,6 +107,7 @@
     TimePoint waitUntil() const;
     bool leavesSilentServer(const ServerEntry& server);
     bool prepareSuccessor();
+    bool hasUntriedServer() const;
     AttemptOutcome waitForServer(const std::vector<ServerEntry>& servers);
     bool serverListTooOld() const;
     void logSilence(const ServerEntry& server, const SilentStream& stream, SilenceDecision decision);
--- a/lovagecross/gateway/CallRunnerSilence.cpp
+++ b/lovagecross/gateway/CallRunnerSilence.cpp
@@ -60,7 +60,8 @@
     SilenceDecision decision = attemptsLeft ? SilenceDecision::NoOtherServer : SilenceDecision::LastAttempt;
     if (attemptsLeft && this->prepareSuccessor())
         decision = SilenceDecision::Moves;
-    else if (!this->headWritten && stream.contact == ServerContact::Unreachable)
+    else if (attemptsLeft && !this->headWritten && stream.contact == ServerContact::Unreachable
+        && this->hasUntriedServer())
         decision = SilenceDecision::GivesUp;
     bool leaves = decision == SilenceDecision::Moves || decision == SilenceDecision::GivesUp;
     if (leaves || !this->silenceLogged)
@@ -101,6 +102,15 @@
     return this->parts.directory.registryAge() > maxListAgeToContinue;
 }
 
+bool CallRunner::hasUntriedServer() const
+{
+    auto current = this->parts.directory.view();
+    const std::vector<ServerEntry>& servers = current->serversOf(this->service);
+    return std::any_of(servers.begin(), servers.end(), [this](const ServerEntry& server) {
+        return server.state == ServerState::Ready && this->triedServers.count(server.id) == 0;
+    });
+}
+
 // Called when no server can be chosen. Waits for one if the stream has begun: the list may be read anew, a server may
 // have room again, or get a permit, or be reached. Returns TryNextServer if servers should be tried again.
 CallRunner::AttemptOutcome CallRunner::waitForServer(const std::vector<ServerEntry>& servers)
