No second server gets the request of a caller that left during a connection attempt

What servers could see since: a request whose caller had left while this node tried to reach the silent server, or its successor.

Change: the caller's connection is looked at after each of these attempts.

--- a/lovagecross/gateway/CallRunnerSilence.cpp
+++ b/lovagecross/gateway/CallRunnerSilence.cpp
@@ -54,7 +54,7 @@
     if (silenceAction(stream) == SilenceAction::Probe)
         stream.contact = this->parts.pool.findContact(server, this->silentSince, this->deadline);
     this->nextSilenceCheck = this->parts.clock.now() + untilNextSilenceCheck(stream);
-    if (silenceAction(stream) != SilenceAction::Move)
+    if (silenceAction(stream) != SilenceAction::Move || this->caller.peerClosed())
         return false;
     bool attemptsLeft = this->mayHaveRun + 1 < this->route->maxAttempts;
     SilenceDecision decision = attemptsLeft ? SilenceDecision::NoOtherServer : SilenceDecision::LastAttempt;
@@ -87,7 +87,7 @@
         return false;
     }
     // Another version may be recorded only once no server of the former one can write any more.
-    if (!this->originIsRecorded(*chosen)) {
+    if (!this->originIsRecorded(*chosen) || this->caller.peerClosed()) {
         this->endCount(*chosen, CallOutcome::Withheld);
         return false;
     }
