A stream that waits for a server asks full servers less and less

Change: the wait is doubled from 100 to 800 ms until the stream makes progress again. The choice whether to wait, and the wait, are functions of their own.

--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -37,6 +37,8 @@
 namespace detail {
 
 inline constexpr Duration minTimeToSend = std::chrono::milliseconds(5); // with less time left, a call is not sent
+inline constexpr Duration minServerRetryInterval
+    = std::chrono::milliseconds(100); // of a stream that waits for a server
 
 } // namespace detail
 
@@ -108,7 +110,9 @@
     bool leavesSilentServer(const ServerEntry& server);
     bool prepareSuccessor();
     bool hasUntriedServer() const;
+    bool mayFindServer(const std::vector<ServerEntry>& servers) const;
     AttemptOutcome waitForServer(const std::vector<ServerEntry>& servers);
+    bool waitOrCallerLeaves(Duration wait);
     bool serverListTooOld() const;
     void logSilence(const ServerEntry& server, const SilentStream& stream, SilenceDecision decision);
 
@@ -118,8 +122,7 @@
     bool maySendAgain() const;
     ChoiceRequest choiceRequest() const;
     std::optional<ServerEntry> chooseServer(const ChoiceRequest& request, const std::vector<ServerEntry>& servers);
-    std::optional<ServerEntry> chooseAndCount(
-        const ChoiceRequest& request, const std::vector<ServerEntry>& servers);
+    std::optional<ServerEntry> chooseAndCount(const ChoiceRequest& request, const std::vector<ServerEntry>& servers);
     void endCount(const ServerEntry& server, CallOutcome outcome, Duration taken = Duration(0));
     std::set<std::string> serversToSkip(const std::vector<ServerEntry>& servers);
     bool obtainPermit(const ServerEntry& server);
@@ -209,6 +212,7 @@
     TimePoint silentSince; // the last event, or when the request was sent
     TimePoint nextSilenceCheck;
     bool silenceLogged = false;
+    Duration serverRetryInterval = detail::minServerRetryInterval; // until the next wait for a server ends
     // From the last event to the end of the response, including the durable write of the turn.
     std::optional<Duration> completionDelay;
 
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -373,8 +373,10 @@
     if (events.empty())
         return AttemptOutcome::TryNextServer;
     this->eventsWritten += count;
-    if (count > 0) // events without data are no progress, and must not keep a stalled stream open
+    if (count > 0) { // events without data are no progress, and must not keep a stalled stream open
         this->noteProgress(this->parts.clock.now());
+        this->serverRetryInterval = detail::minServerRetryInterval;
+    }
     if (!this->headWritten && !this->writeStreamHead())
         return AttemptOutcome::CallerLeft;
     return this->write(printChunk(events)) ? AttemptOutcome::TryNextServer : AttemptOutcome::CallerLeft;
--- a/lovagecross/gateway/CallRunnerSilence.cpp
+++ b/lovagecross/gateway/CallRunnerSilence.cpp
@@ -15,7 +15,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration serverRetryInterval = milliseconds(100); // of a stream that waits for a server
+constexpr Duration maxServerRetryInterval = milliseconds(800); // of a stream that waits for a server
 constexpr Duration callerCheckInterval = milliseconds(50);
 // Age of the server list up to which a stream is continued by the versions in it. Older lists are of a node that is out
 // of step with the others, which may have seen servers come back with another version.
@@ -111,30 +111,44 @@
     });
 }
 
+// Whether a server may still continue the stream: one of its version that has not broken off, or, with an old list, one
+// that this node doesn't know.
+bool CallRunner::mayFindServer(const std::vector<ServerEntry>& servers) const
+{
+    return this->serverListTooOld() || std::any_of(servers.begin(), servers.end(), [this](const ServerEntry& server) {
+        return server.state == ServerState::Ready && server.softwareVersion == this->origin.softwareVersion
+            && this->failedServers.count(server.id) == 0;
+    });
+}
+
 // Called when no server can be chosen. Waits for one if the stream has begun: the list may be read anew, a server may
 // have room again, or get a permit, or be reached. Returns TryNextServer if servers should be tried again.
 CallRunner::AttemptOutcome CallRunner::waitForServer(const std::vector<ServerEntry>& servers)
 {
-    bool mayReturn
-        = this->serverListTooOld() || std::any_of(servers.begin(), servers.end(), [this](const ServerEntry& server) {
-              return server.state == ServerState::Ready && server.softwareVersion == this->origin.softwareVersion
-                  && this->failedServers.count(server.id) == 0;
-          });
-    if (!mayReturn)
+    if (!this->headWritten)
+        return AttemptOutcome::GiveUp;
+    if (!this->mayFindServer(servers)) {
         this->breakCause = BreakCause::NoServer;
-    if (!this->headWritten || !mayReturn)
         return AttemptOutcome::GiveUp;
-    Duration wait = std::max(serverRetryInterval, this->nextPermitIn.value_or(Duration(0)));
+    }
+    Duration wait = std::max(this->serverRetryInterval, this->nextPermitIn.value_or(Duration(0)));
+    this->serverRetryInterval = std::min(this->serverRetryInterval * 2, maxServerRetryInterval);
+    this->nextPermitIn.reset();
+    this->deniedPermits = 0;
+    this->triedServers = this->failedServers;
+    return this->waitOrCallerLeaves(wait) ? AttemptOutcome::TryNextServer : AttemptOutcome::CallerLeft;
+}
+
+// Waits, at most until the deadline. Returns false if the caller has left.
+bool CallRunner::waitOrCallerLeaves(Duration wait)
+{
     TimePoint until = std::min(this->deadline, this->parts.clock.now() + wait);
     for (TimePoint now = this->parts.clock.now(); now < until; now = this->parts.clock.now()) {
         std::this_thread::sleep_for(std::min(callerCheckInterval, until - now));
         if (this->caller.peerClosed())
-            return AttemptOutcome::CallerLeft;
+            return false;
     }
-    this->nextPermitIn.reset();
-    this->deniedPermits = 0;
-    this->triedServers = this->failedServers;
-    return AttemptOutcome::TryNextServer;
+    return true;
 }
 
 void CallRunner::logSilence(const ServerEntry& server, const SilentStream& stream, SilenceDecision decision)
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -25,7 +25,7 @@
 enum class BreakCause {
     Server, // broke off, or sent something wrong, and no attempt is left
     Deadline,
-    NoServer, // no server of the stream's version is listed any more
+    NoServer, // no other ready server of the stream's version is listed
     TurnNotKept, // the record nodes did not store the conversation turn
     OtherNode, // the node through which the call was sent broke off
 };
--- a/lovagecross/gateway/PausingServerTest.cpp
+++ b/lovagecross/gateway/PausingServerTest.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(streamWaitsForAServerUntilTheCallerLeaves);
     CPPUNIT_TEST(streamOfASilentServerEndsAtTheDeadline);
     CPPUNIT_TEST(streamGoesOnAfterItsRouteWasRemoved);
+    CPPUNIT_TEST(onlyServerOfItsVersionIsWaitedForBeyondAPause);
+    CPPUNIT_TEST(oldListIsWaitedForBeyondAPause);
     CPPUNIT_TEST(silentServerIsNotLeftForOneThatCanNotBeReached);
     CPPUNIT_TEST_SUITE_END();
 
@@ -266,6 +268,27 @@
         assertWhole(this->sendRequest(post("/stream/", "r", "x")));
         CPPUNIT_ASSERT_EQUAL(2, begun.load());
     }
+
+    // Guards against a stream that leaves a silent server although no other server of its version is ready.
+    void onlyServerOfItsVersionIsWaitedForBeyondAPause()
+    {
+        for (const char* version : { "v1", "v2" }) {
+            this->addServer(pausesBefore(3, milliseconds(2200)));
+            this->entries.back().softwareVersion = version;
+        }
+        this->directory->replaceServers(this->entries, 100);
+        assertWhole(this->sendRequest(post("/stream/", "r", "x")));
+        CPPUNIT_ASSERT_EQUAL(1, this->totalServerRequests());
+    }
+
+    // Guards against a stream that leaves a silent server by a list of servers that is too old to continue by.
+    void oldListIsWaitedForBeyondAPause()
+    {
+        this->addServers(2, pausesBefore(3, milliseconds(2200)));
+        std::this_thread::sleep_for(milliseconds(2100));
+        assertWhole(this->sendRequest(post("/stream/", "r", "x")));
+        CPPUNIT_ASSERT_EQUAL(1, this->totalServerRequests());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PausingServerTest);
