The configuration of a publisher of an earlier build is taken

What callers could see: while all record nodes still ran, an entry node of a later build took no configuration from them. It read the platform itself; with the platform out of reach it would stay at 'no configuration received yet'.

Found by the samples of landed builds.

Change: the document is applied, and confirms nothing; the node still reads the platform, as it can't tell how old the document is.

Evidence: DirectoryFollowerTest::configurationOfAnEarlierBuildIsTaken: before, no configuration; now version 3, and the node does not count as up to date.

--- a/lovagecross/sharing/DirectoryFollower.cpp
+++ b/lovagecross/sharing/DirectoryFollower.cpp
@@ -120,11 +120,12 @@
     this->applyConfiguration(update, onTheWay);
 }
 
+// Confirms nothing if the publisher doesn't know the age of its configuration, or is of a build that doesn't send it.
 void DirectoryFollower::applyConfiguration(const DirectoryUpdate& update, Duration onTheWay)
 {
-    if (!update.configurationAgeMillis)
-        return;
-    Duration age = durationOf(*update.configurationAgeMillis) + onTheWay;
+    std::optional<Duration> age;
+    if (update.configurationAgeMillis)
+        age = durationOf(*update.configurationAgeMillis) + onTheWay;
     if (!update.configurationDocument.empty()) {
         auto configuration = this->decode(update.configurationDocument);
         if (!configuration)
@@ -136,11 +137,12 @@
                 .field("version", version)
                 .field("routes", routes)
                 .field("from", "publisher")
-                .field("ageMs", toMillis(age))
+                .field("ageMs", toMillis(age.value_or(maxLoggedAge)))
                 .field("inForce", true)
                 .write();
     }
-    this->directory.confirmConfiguration(update.configurationVersion, age);
+    if (age)
+        this->directory.confirmConfiguration(update.configurationVersion, *age);
 }
 
 // Logs when what this node knows becomes older than it would accept from a publisher, and when it no longer is.
--- a/lovagecross/sharing/DirectoryFollowerTest.cpp
+++ b/lovagecross/sharing/DirectoryFollowerTest.cpp
@@ -29,7 +29,10 @@
         auto found = this->publishers.find(address);
         if (found == this->publishers.end())
             return { PeerStatus::NoAnswer, {} };
-        return { PeerStatus::Ok, answerDirectoryFetch(*found->second, std::get<DirectoryFetch>(request)) };
+        DirectoryUpdate update = answerDirectoryFetch(*found->second, std::get<DirectoryFetch>(request));
+        if (this->withoutConfigurationAge)
+            update.configurationAgeMillis = std::nullopt;
+        return { PeerStatus::Ok, std::move(update) };
     }
     std::vector<PeerResult> requestAll(
         const std::vector<std::string>&, const PeerRequest&, const Fanout&, const EnoughAnswers&) override
@@ -42,6 +45,7 @@
     std::map<std::string, const Directory*> publishers;
     Duration transferTime { 0 };
     int requestCount = 0;
+    bool withoutConfigurationAge = false; // as nodes that were built before the field was added
 
 private:
     ManualClock& clock;
@@ -77,6 +81,7 @@
     CPPUNIT_TEST(refusedDocumentConfirmsNothing);
     CPPUNIT_TEST(firstPublisherAsksOthersWhileItsReadsFail);
     CPPUNIT_TEST(stepsLeaveRoomWithinTheBound);
+    CPPUNIT_TEST(configurationOfAnEarlierBuildIsTaken);
     CPPUNIT_TEST_SUITE_END();
 
     ManualClock clock;
@@ -315,6 +320,22 @@
             CPPUNIT_ASSERT(times.readInterval * 3 / 2 < times.maxAge); // a slow read doesn't look like a failed one
         }
     }
+
+    // Guards against a node that serves nothing while the platform is out of reach and all publishers are of a build
+    // that doesn't send the age of its configuration.
+    void configurationOfAnEarlierBuildIsTaken()
+    {
+        Directory source(this->clock);
+        Directory target(this->clock);
+        this->peers.publishers["p"] = &source;
+        this->peers.withoutConfigurationAge = true;
+        auto follower = this->follow(target);
+        readAll(source, { makeServerEntry("a") }, 10, 3);
+        follower.step({ "p" });
+        CPPUNIT_ASSERT(target.view()->configuration != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), target.view()->configuration->version);
+        CPPUNIT_ASSERT(!follower.upToDate()); // its age is unknown, so this node reads the platform too
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryFollowerTest);
