A stream in which a server left out an event goes on at another server

What callers could see: a resumable stream that ended at once when one server sent its events with a gap, with attempts left; events that came in the same piece as the one after the gap were lost too.

Cause: a gap ended the call, unlike any other fault of a server.

Change: the events before the gap are written, and the exchange counts as broken off by the server.

--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -81,7 +81,7 @@
         Completed, // the complete response was written
         Truncated, // part of the response was written and the rest can't be sent
         CallerLeft, // the caller closed the connection
-        TryNextServer, // another server may be tried; from `forwardEvents`: the stream continues
+        TryNextServer, // another server may be tried
         GiveUp, // the call may have run and must not be sent again
         Refused, // a refusal was written
     };
@@ -134,7 +134,8 @@
     AttemptOutcome handleResponse(const Route& route, ServerExchange& exchange, const ServerEntry& server);
     AttemptOutcome forwardBufferedResponse(const Route& route, ServerExchange& exchange);
     AttemptOutcome forwardStream(const Route& route, ServerExchange& exchange, const ServerEntry& server);
-    AttemptOutcome forwardEvents(EventSplitter& splitter);
+    std::optional<AttemptOutcome> forwardEvents(EventSplitter& splitter);
+    bool writeEvents(std::string_view events, std::uint64_t count);
     AttemptOutcome finishStream(const Route& route);
     bool acceptEvent(const StreamEvent& event, bool& duplicate);
     bool mayRetry(const Route& route, ExchangeStatus end) const;
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -319,9 +319,8 @@
         splitter.add(content);
         if (!content.empty() && this->parts.relay != nullptr)
             this->parts.relay->paths.heard();
-        AttemptOutcome outcome = this->forwardEvents(splitter);
-        if (outcome != AttemptOutcome::TryNextServer)
-            return outcome;
+        if (auto outcome = this->forwardEvents(splitter))
+            return *outcome;
         // Also after bytes that were no event: they must not keep a stream at a server that makes no progress.
         bool mayWait = end == ExchangeStatus::Ok || end == ExchangeStatus::TimedOut;
         if (mayWait && !exchange.complete() && this->leavesSilentServer(server)) {
@@ -349,18 +348,17 @@
     }
 }
 
-// Writes the complete events that have arrived. Returns TryNextServer if reading should continue.
-CallRunner::AttemptOutcome CallRunner::forwardEvents(EventSplitter& splitter)
+// Writes the complete events that have arrived, up to a gap in their ids. Returns nullopt if reading should continue.
+std::optional<CallRunner::AttemptOutcome> CallRunner::forwardEvents(EventSplitter& splitter)
 {
     std::string events;
     std::uint64_t count = 0;
+    bool missesEvent = false;
     while (auto event = splitter.next()) {
         bool duplicate = false;
-        if (!this->acceptEvent(*event, duplicate)) {
-            this->lastFailure = "stream_misses_event";
-            ++this->mayHaveRun;
-            return AttemptOutcome::GiveUp;
-        }
+        missesEvent = !this->acceptEvent(*event, duplicate);
+        if (missesEvent)
+            break;
         if (duplicate)
             continue;
         events += event->bytes;
@@ -370,16 +368,25 @@
                 this->turnOutput += event->data + '\n';
         }
     }
-    if (events.empty())
-        return AttemptOutcome::TryNextServer;
+    if (!events.empty() && !this->writeEvents(events, count))
+        return AttemptOutcome::CallerLeft;
+    if (!missesEvent)
+        return std::nullopt;
+    this->lastFailure = "stream_misses_event";
+    return this->handleFailedExchange(*this->route, ExchangeStatus::Lost);
+}
+
+// `count` is the number of events with data. Returns false if the caller has left.
+bool CallRunner::writeEvents(std::string_view events, std::uint64_t count)
+{
     this->eventsWritten += count;
     if (count > 0) { // events without data are no progress, and must not keep a stalled stream open
         this->noteProgress(this->parts.clock.now());
         this->serverRetryInterval = detail::minServerRetryInterval;
     }
     if (!this->headWritten && !this->writeStreamHead())
-        return AttemptOutcome::CallerLeft;
-    return this->write(printChunk(events)) ? AttemptOutcome::TryNextServer : AttemptOutcome::CallerLeft;
+        return false;
+    return this->write(printChunk(events));
 }
 
 // Returns false if at least one event before this one is missing.
--- a/lovagecross/gateway/GatewayStreamTest.cpp
+++ b/lovagecross/gateway/GatewayStreamTest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(resumableStreamContinuesOnAnotherServer);
     CPPUNIT_TEST(truncatedStreamIsNotCompleted);
     CPPUNIT_TEST(streamWithMissingEventIsAborted);
+    CPPUNIT_TEST(streamWithMissingEventContinuesOnAnotherServer);
     CPPUNIT_TEST(errorOfTheNextServerIsNoPartOfTheStream);
     CPPUNIT_TEST(responseThatEndsInsideItsHeadIsNone);
     CPPUNIT_TEST(turnIncludesPrecedingConversation);
@@ -75,6 +76,31 @@
         CPPUNIT_ASSERT_MESSAGE(response, !contains(response, event(3)) && !contains(response, "0\r\n\r\n"));
     }
 
+    // Guards against a stream that is cut because one server left out an event, although another one could continue it,
+    // and against events that are lost because they came together with the one after the gap.
+    void streamWithMissingEventContinuesOnAnotherServer()
+    {
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            connection.write(streamHead(request) + printChunk(event(1) + event(2) + event(4)));
+            return connection.waitForClose();
+        });
+        this->addServer([](const ScriptedRequest& request, ScriptedConnection& connection) {
+            CPPUNIT_ASSERT_EQUAL(std::string("2"), request.header("Last-Event-Id"));
+            return connection.write(
+                streamHead(request) + printChunk(event(3)) + printChunk(event(4)) + std::string(lastChunk));
+        });
+        this->entries.back().dataCentre = "b"; // so that the first one is preferred
+        this->directory->replaceServers(this->entries, 100);
+        std::string response = this->sendRequest(post("/stream/", "r1", "x"));
+        std::size_t at = 0;
+        for (int id = 1; id <= 4; ++id) {
+            std::size_t next = response.find(event(id));
+            CPPUNIT_ASSERT_MESSAGE(response, next != std::string::npos && next >= at);
+            at = next;
+        }
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, lastChunk.data()));
+    }
+
     // Guards against the text or the head of an error in the middle of a stream, and against a stream that ends as if
     // it were complete because the server that should continue it answered with an error.
     void errorOfTheNextServerIsNoPartOfTheStream()
