An entry node that declines a call is not taken for one that failed

Cause: RelayTable had one word for all of it, `failed`, with the pauses of a node that can't be reached, and `choose` gave none once all nodes were left out.

Change: a decline names its reason in the field Lovagecross-Relay-Decline-Reason, beside Lovagecross-Relay-Declined: 1, which stays for builds that know only that one; their declines have the reason `unstated`. RelayTable keeps declined, busy, failed and gone apart, each with its end: the named Retry-After (1 s at most), 0.4 s, the pauses as before, or an offer that is newer than the decline (lists from 2.2 s after it on). An answer to a call that was sent later ends what was known. With all nodes left out, the one whose pause ends first is tried, one for a call; nodes that failed or are gone only once in 0.7 s, so that a node that is cut off from all others goes on refusing at once. The refusal says which of the four it was and how old that knowledge is, and so do the fields otherNodes and otherNodesKnownMs.

Evidence: RelayDeclineTest, on real sockets. On the code before, three of its tests get '503 no server can be reached' (fullNodeIsTriedAgainAfterTheTimeThatItNames, onlyNodeIsTriedAlthoughItDeclinedBefore, refusalNamesWhyNoNodeTakesTheCall), and declineNamesItsReasonBesideTheFormerField finds no reason; declineOfAnEarlierBuildIsUnderstood passes there too. RelayTableTest in simulated time: with `declined` treated as `failed`, seven of the nine new tests fail (busyNodeIsLeftOutForTheTimeThatItNames: 'Expression: usable(relays)'); the other two, nodesOutOfReachAreRarelyGuessed and answerEndsWhatWasKnownBefore, fail without the guess and without `answered`. All of gatewayTests passes (143).

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -69,8 +69,11 @@
 AfterCall CallRunner::runCall()
 {
     this->parts.counters.calls.add();
-    if (this->callOrigin == CallOrigin::Node && !this->mayTakeRelayedCall())
-        return this->declineRelayedCall();
+    std::optional<DeclineReason> decline;
+    if (this->callOrigin == CallOrigin::Node)
+        decline = this->reasonToDecline();
+    if (decline)
+        return this->declineRelayedCall(*decline);
     if (!this->view->configuration)
         return this->refuse(503, "no configuration is known yet", longRetryAfter);
     const std::string* host = this->head.headers.find("Host");
@@ -307,14 +310,16 @@
     return AttemptOutcome::Completed;
 }
 
-AfterCall CallRunner::refuse(int status, std::string_view reason, std::optional<Duration> retryAfter)
+AfterCall CallRunner::refuse(
+    int status, std::string_view reason, std::optional<Duration> retryAfter, std::string_view detail)
 {
     this->parts.counters.refused.add();
     HeaderList headers = this->parts.codec.encodeResponseHeaders(this->call, retryAfter);
     this->addConnectionFields(headers);
     this->lastFailure = this->lastFailure.empty() ? std::string(reason) : this->lastFailure;
     this->logCall(reason, status);
-    bool written = this->write(printError(status, reason, std::move(headers)));
+    std::string text = std::string(reason) + std::string(detail);
+    bool written = this->write(printError(status, text, std::move(headers)));
     return written && !this->mustClose() ? AfterCall::KeepOpen : AfterCall::Close;
 }
 
@@ -328,8 +333,8 @@
     if (this->mayHaveRun == 0 && this->sends == 0 && this->nextPermitIn)
         return this->refuse(503, "the servers' rate limits are reached", this->nextPermitIn);
     if (this->mayHaveRun == 0)
-        return this->refuse(
-            503, this->refusals > 0 ? "the servers are full" : "no server can be reached", shortRetryAfter);
+        return this->refuse(503, this->refusals > 0 ? "the servers are full" : "no server can be reached",
+            shortRetryAfter, this->describeOtherNodes());
     this->parts.counters.failed.add();
     bool late = this->timeLeft() <= detail::minTimeToSend;
     return this->refuse(late ? 504 : 502, late ? "no answer in time" : "the server did not answer whole");
@@ -429,6 +434,9 @@
         line.field("resumptions", this->resumptions);
     if (!this->lastFailure.empty())
         line.field("lastFailure", this->lastFailure);
+    if (this->otherNodes)
+        line.field("otherNodes", relayProblemNames.name(this->otherNodes->problem))
+            .field("otherNodesKnownMs", toMillis(this->otherNodes->age));
     if (outcome == brokenOffOutcome)
         line.field("cause", breakCauseNames.name(this->breakCause))
             .field("silenceMs", toMillis(now - this->silentSince));
--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -94,8 +94,9 @@
     bool mustRelay(const Route& route) const;
     bool needsRecords(const Route& route) const;
     bool mayFallBackToRelay(const Route& route, AttemptOutcome outcome) const;
-    bool mayTakeRelayedCall() const;
-    AfterCall declineRelayedCall();
+    std::optional<DeclineReason> reasonToDecline() const;
+    AfterCall declineRelayedCall(DeclineReason reason);
+    std::string describeOtherNodes() const;
     AttemptOutcome relay(const Route& route);
     AttemptOutcome relayThrough(const Route& route, const RelayNode& node);
     AttemptOutcome forwardRelayedResponse(const Route& route, ServerExchange& exchange);
@@ -154,7 +155,9 @@
     void settleTokens();
 
     ServerRequest makeRequest(const Route& route, const ServerEntry& server) const;
-    AfterCall refuse(int status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt);
+    // The caller gets `detail` after the reason; the log line has only the reason.
+    AfterCall refuse(int status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt,
+        std::string_view detail = {});
     AfterCall finishFailedCall();
     AfterCall finishBrokenStream();
     AfterCall finishAfterError(std::string_view error);
@@ -191,6 +194,7 @@
     std::optional<ServerEntry> successor; // continues the stream; has its permit
     std::uint32_t sends = 0;
     bool relayTried = false; // the call may have been sent to another node
+    std::optional<RelayKnowledge> otherNodes; // why none of them took the call
     std::uint32_t mayHaveRun = 0; // sends after which the server may have run the call
     std::uint32_t refusals = 0; // sends that the server confirmed it did not run
     std::uint32_t deniedPermits = 0;
--- a/lovagecross/gateway/CallRunnerRelay.cpp
+++ b/lovagecross/gateway/CallRunnerRelay.cpp
@@ -49,13 +49,18 @@
 CallRunner::AttemptOutcome CallRunner::relay(const Route& found)
 {
     AttemptOutcome outcome = AttemptOutcome::TryNextServer;
-    for (const RelayNode& node : this->parts.relay->nodes.choose(maxRelaysTried)) {
-        if (this->timeLeft() <= detail::minTimeToSend)
+    std::set<std::string> tried;
+    while (tried.size() < maxRelaysTried && this->timeLeft() > detail::minTimeToSend) {
+        std::optional<RelayChoice> choice = this->parts.relay->nodes.next(tried);
+        if (!choice)
             break;
-        outcome = this->relayThrough(found, node);
-        if (outcome != AttemptOutcome::TryNextServer)
+        tried.insert(choice->node.address);
+        outcome = this->relayThrough(found, choice->node);
+        if (outcome != AttemptOutcome::TryNextServer || choice->isGuess)
             break;
     }
+    if (outcome == AttemptOutcome::TryNextServer)
+        this->otherNodes = this->parts.relay->nodes.whyLeftOut();
     if (outcome != AttemptOutcome::Completed)
         this->closeAfterCall = true; // so that the caller's next call can reach another node
     return outcome;
@@ -91,17 +96,27 @@
         bool unknown = end == ExchangeStatus::Lost || end == ExchangeStatus::TimedOut;
         return unknown && found.kind == CallKind::Streaming ? AttemptOutcome::GiveUp : outcome;
     }
-    if (exchange.head().headers.has(relayDeclinedField)) {
-        this->lastFailure = "relay_declined";
-        this->parts.relay->nodes.failed(node.address);
+    if (auto decline = relayDeclineOf(exchange.head().headers)) {
+        this->lastFailure = "relay_declined_" + std::string(declineReasonNames.name(decline->reason));
+        this->parts.relay->nodes.declined(node.address, *decline);
         return AttemptOutcome::TryNextServer;
     }
+    this->parts.relay->nodes.answered(node.address, sentAt);
     ++this->sends;
     this->parts.counters.relayedAway.add();
     this->learnFromRelay(exchange, sentAt);
     return this->forwardRelayedResponse(found, exchange);
 }
 
+// For the text of a refusal, after its reason.
+std::string CallRunner::describeOtherNodes() const
+{
+    if (!this->otherNodes)
+        return {};
+    return "; other entry nodes: " + std::string(relayProblemNames.name(this->otherNodes->problem)) + " ("
+        + std::to_string(toMillis(this->otherNodes->age)) + " ms ago)";
+}
+
 // What the server said about itself concerns this node too, once it reaches the server again.
 void CallRunner::learnFromRelay(const ServerExchange& exchange, TimePoint sentAt)
 {
@@ -165,19 +180,29 @@
 
 // --- On the node that runs a call for another one
 
-bool CallRunner::mayTakeRelayedCall() const
+// Returns nullopt if this node can run the call. Of several reasons, the one that lasts longest comes first.
+std::optional<DeclineReason> CallRunner::reasonToDecline() const
 {
-    bool recentConfiguration = this->view->configuration != nullptr
-        && this->view->configuration->version >= relayConfigurationOf(this->head.headers);
-    return recentConfiguration && !this->parts.draining && this->parts.relay->paths.reachesServers()
-        && this->parts.relay->reachesRecords() && this->parts.relay->calls <= this->parts.relay->maxCalls;
+    const RelayContext& relay = *this->parts.relay;
+    if (this->parts.draining || this->parts.stopsAt.load() != TimePoint::max())
+        return DeclineReason::Stopping;
+    if (this->view->configuration == nullptr
+        || this->view->configuration->version < relayConfigurationOf(this->head.headers))
+        return DeclineReason::OlderConfiguration;
+    if (!relay.paths.reachesServers() || !relay.reachesRecords())
+        return DeclineReason::NoPath;
+    if (relay.calls > relay.maxCalls)
+        return DeclineReason::Busy;
+    return std::nullopt;
 }
 
-AfterCall CallRunner::declineRelayedCall()
+AfterCall CallRunner::declineRelayedCall(DeclineReason reason)
 {
     this->parts.counters.relaysDeclined.add();
     HeaderList headers = this->parts.codec.encodeResponseHeaders(this->call, declinedRetryAfter);
     headers.add(relayDeclinedField, "1");
+    headers.add(relayDeclineReasonField, declineReasonNames.name(reason));
+    this->lastFailure = declineReasonNames.name(reason);
     headers.add("Connection", "close");
     this->logCall("relayed call declined", 503);
     this->write(printError(503, "relayed call declined", std::move(headers)));
--- a/lovagecross/gateway/RelayFields.h
+++ b/lovagecross/gateway/RelayFields.h
@@ -5,13 +5,16 @@
 //
 // Thread safety: constants and free functions.
 
+#include "lovagecross/gateway/RelayDecline.h"
 #include "lovagecross/gateway/ServerEntry.h"
 #include "lovagecross/http/MessageHead.h"
 
+#include <charconv>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 namespace lovagecross {
 
@@ -20,6 +23,9 @@
 // of nodes that were built before the field was added.
 inline constexpr std::string_view relayConfigurationField = "Lovagecross-Relay-Configuration";
 inline constexpr std::string_view relayDeclinedField = "Lovagecross-Relay-Declined"; // not run; try another node
+// One of declineReasonNames, beside relayDeclinedField. Absent in responses of nodes that were built before the field
+// was added.
+inline constexpr std::string_view relayDeclineReasonField = "Lovagecross-Relay-Decline-Reason";
 // The server that gave the response: its id, a space, and the Unix millisecond of its start.
 inline constexpr std::string_view relayServerField = "Lovagecross-Relay-Server";
 
@@ -55,6 +61,33 @@
     return ServerKey { text->substr(0, space), static_cast<std::int64_t>(*started) };
 }
 
+// Returns nullopt if the Retry-After field is missing or is not a number of seconds.
+inline std::optional<Duration> retryAfterOf(const HeaderList& headers)
+{
+    const std::string* text = headers.find("Retry-After");
+    if (text == nullptr)
+        return std::nullopt;
+    constexpr double maxSeconds = 3600;
+    double seconds = 0;
+    const char* end = text->data() + text->size();
+    auto [parsedTo, error] = std::from_chars(text->data(), end, seconds);
+    if (error != std::errc() || parsedTo != end || !(seconds >= 0 && seconds <= maxSeconds))
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+// Returns nullopt if the node took the call. A reason that this build doesn't know counts as none.
+inline std::optional<RelayDecline> relayDeclineOf(const HeaderList& headers)
+{
+    if (!headers.has(relayDeclinedField))
+        return std::nullopt;
+    RelayDecline decline;
+    decline.retryAfter = retryAfterOf(headers);
+    if (const std::string* reason = headers.find(relayDeclineReasonField))
+        decline.reason = declineReasonNames.parse(*reason).value_or(DeclineReason::Unstated);
+    return decline;
+}
+
 // Removes the fields of requests and of responses.
 inline void removeRelayFields(HeaderList& headers)
 {
@@ -62,6 +95,7 @@
     headers.remove(relayConfigurationField);
     headers.remove(relayServerField);
     headers.remove(relayDeclinedField);
+    headers.remove(relayDeclineReasonField);
 }
 
 } // namespace lovagecross
