Connections between entry nodes have limits of their own

What callers saw, at a node that has lost its servers: 502 for an unsafe call which no server had got, because it was sent on a kept connection at the moment the other node closed it as idle; and 502 for a head or a body that their node had accepted.

Cause: the address for nodes applied the callers' limits of the configuration (idle timeout, times and sizes), though the node that sends the call keeps connections by its own times, adds fields to the head, and may have another version of the configuration. Its refusals of such a head or body have no request id, so the sender takes the connection for lost.

The first node has applied the configuration's limits.

Evidence: RelayStopTest.

--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -23,6 +23,21 @@
 constexpr Duration lingeringCloseTimeout = milliseconds(300);
 constexpr std::size_t maxDiscardedBytes = 1024 * 1024;
 
+constexpr std::size_t minNodeHeadLimitBytes = 256 * 1024; // a node with another configuration may allow as much
+constexpr std::size_t maxRelayFieldBytes = 4 * 1024; // that a node adds to the head of a call
+
+// The limits for calls of other nodes. The node that read a call has applied the limits of the configuration, maybe of
+// another version, and keeps connections for longer than callers may.
+CallerLimits limitsForNodes(const CallerLimits& configured)
+{
+    CallerLimits limits;
+    limits.maxHeadBytes = std::max(configured.maxHeadBytes, minNodeHeadLimitBytes) + maxRelayFieldBytes;
+    limits.maxBodyBytes = std::max(configured.maxBodyBytes, maxBufferedBodyBytes);
+    limits.headTimeout = std::max(configured.headTimeout, limits.headTimeout);
+    limits.idleTimeout = std::max(configured.idleTimeout, limits.idleTimeout);
+    return limits;
+}
+
 // Counts one request body in the counter of buffered bytes and removes it on destruction.
 class BufferedBodyBytes {
 public:
@@ -59,7 +74,8 @@
 CallerLimits CallerSession::limits() const
 {
     auto view = this->parts.directory.view();
-    return view->configuration ? view->configuration->limits : CallerLimits {};
+    CallerLimits configured = view->configuration ? view->configuration->limits : CallerLimits {};
+    return this->origin == CallOrigin::Node ? limitsForNodes(configured) : configured;
 }
 
 void CallerSession::run()
--- a/lovagecross/gateway/RelayStopTest.cpp
+++ b/lovagecross/gateway/RelayStopTest.cpp
@@ -1,4 +1,4 @@
-// What callers get when the entry node that runs their call stops, is lost or pauses.
+// What callers get when the entry node that runs their call stops, is lost, pauses or closes its connections.
 
 #include "lovagecross/gateway/RelayFixture.h"
 
@@ -14,6 +14,9 @@
     CPPUNIT_TEST(callOfANodeThatIsLostHasAnEnd);
     CPPUNIT_TEST(callOfASilentNodeEndsAtItsDeadline);
     CPPUNIT_TEST(pauseOfTheOtherNodeIsWaitedFor);
+    CPPUNIT_TEST(unsafeCallsSurviveIdleConnectionsThatClose);
+    CPPUNIT_TEST(longestHeadIsRelayed);
+    CPPUNIT_TEST(newerLimitsDontApplyToRelayedCalls);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Duration pause = milliseconds(1300);
@@ -29,6 +32,12 @@
         return next;
     }
 
+    void applyAtBothNodes(const GatewayConfiguration& next)
+    {
+        this->strandedDirectory.applyConfiguration(next);
+        this->directory->applyConfiguration(next);
+    }
+
     static bool answerDone(const ScriptedRequest& request, ScriptedConnection& connection)
     {
         return connection.write(signedResponse(request, "done"));
@@ -158,6 +167,41 @@
         CPPUNIT_ASSERT_MESSAGE(response, contains(response, "data: e2") && contains(response, "0\r\n\r\n"));
         CPPUNIT_ASSERT_EQUAL(2, pausing.requests());
     }
+
+    // Guards against an unsafe call that is sent on a kept connection at the moment the other node closes it as idle.
+    void unsafeCallsSurviveIdleConnectionsThatClose()
+    {
+        this->addServer(answerDone);
+        GatewayConfiguration next = this->patientConfiguration();
+        next.limits.idleTimeout = milliseconds(20);
+        this->applyAtBothNodes(next);
+        for (int i = 0; i < 150; ++i) {
+            std::string response = this->sendToStranded(post("/unsafe/", "r" + std::to_string(i), "x"));
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(i) + ": " + response, contains(response, "done"));
+            std::this_thread::sleep_for(milliseconds(19) + std::chrono::microseconds(10 * i));
+        }
+    }
+
+    // Guards against a head that this node accepts and the other one refuses, as it has more fields there.
+    void longestHeadIsRelayed()
+    {
+        this->addServer(answerDone);
+        std::string request = get("/safe/", "r1", "Padding: \r\n");
+        request.insert(request.find("Padding: ") + 9, this->configuration().limits.maxHeadBytes - request.size(), 'p');
+        std::string response = this->sendToStranded(request);
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
+    }
+
+    // Guards against a body that this node accepts and the other one refuses, as its configuration is newer.
+    void newerLimitsDontApplyToRelayedCalls()
+    {
+        this->addServer(answerDone);
+        GatewayConfiguration next = this->patientConfiguration();
+        next.limits.maxBodyBytes = 10;
+        this->directory->applyConfiguration(next);
+        std::string response = this->sendToStranded(post("/unsafe/", "r1", std::string(100, 'x')));
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayStopTest);
