Kept connections between entry nodes leave threads for calls

What callers saw, at a node that has lost its servers: 502 for an unsafe call that no server had got, while the other node had time for it.

Cause: each node without servers keeps up to 16 idle connections to another node, and each of these has one of its threads (68 on the smallest machine, so five such nodes use all). A further connection is closed unread, and the sender can't tell that from a node that was lost with the call.

Change: a node closes the connection after its response while more connections of other nodes are open than calls of theirs may run. That is half of the listener's threads, so the rest is left for calls and for declines.

Evidence: RelayStopTest::idleConnectionsLeaveThreadsForCalls; on the code before it gets '502 Bad Gateway', and the log has connection_limit. After it 16 of 36 connections are kept and the call is served. All of gatewayTests passes (154). Not covered: as many new connections at the same moment as there are threads.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -385,7 +385,9 @@
 bool CallRunner::mustClose() const
 {
     bool stopping = this->parts.draining || this->parts.stopsAt.load() != TimePoint::max();
-    return stopping || this->closeAfterCall || !this->head.keepAlive;
+    bool crowded
+        = this->callOrigin == CallOrigin::Node && this->parts.relay->openConnections > this->parts.relay->maxCalls;
+    return stopping || crowded || this->closeAfterCall || !this->head.keepAlive;
 }
 
 bool CallRunner::write(std::string_view bytes)
--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -69,6 +69,14 @@
     , stream(socket)
     , openedAt(shared.clock.now())
 {
+    if (this->origin == CallOrigin::Node)
+        ++this->parts.relay->openConnections;
+}
+
+CallerSession::~CallerSession()
+{
+    if (this->origin == CallOrigin::Node)
+        --this->parts.relay->openConnections;
 }
 
 CallerLimits CallerSession::limits() const
--- a/lovagecross/gateway/CallerSession.h
+++ b/lovagecross/gateway/CallerSession.h
@@ -22,6 +22,10 @@
     CallerSession(
         GatewayContext& shared, const Poco::Net::StreamSocket& socket, CallOrigin callOrigin = CallOrigin::Caller);
 
+    ~CallerSession();
+    CallerSession(const CallerSession&) = delete;
+    CallerSession& operator=(const CallerSession&) = delete;
+
     // Serves requests until the connection is closed.
     void run();
 
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -73,6 +73,8 @@
     std::function<bool()> reachesRecords = [] { return true; };
     std::uint64_t maxCalls = 64; // of other nodes that this one runs at once; its own callers go first
     std::atomic<std::uint64_t> calls { 0 }; // of other nodes that are running here
+    // Of other nodes. Only as many as `maxCalls` are kept after a response, so that idle ones leave threads for calls.
+    std::atomic<std::uint64_t> openConnections { 0 };
 };
 
 struct GatewayContext {
--- a/lovagecross/gateway/RelayStopTest.cpp
+++ b/lovagecross/gateway/RelayStopTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(callOfASilentNodeEndsAtItsDeadline);
     CPPUNIT_TEST(pauseOfTheOtherNodeIsWaitedFor);
     CPPUNIT_TEST(unsafeCallsSurviveIdleConnectionsThatClose);
+    CPPUNIT_TEST(idleConnectionsLeaveThreadsForCalls);
     CPPUNIT_TEST(longestHeadIsRelayed);
     CPPUNIT_TEST(newerLimitsDontApplyToRelayedCalls);
     CPPUNIT_TEST_SUITE_END();
@@ -182,6 +183,28 @@
         }
     }
 
+    // Guards against an unsafe call whose connection is closed unread, because kept ones of other nodes use all
+    // threads.
+    void idleConnectionsLeaveThreadsForCalls()
+    {
+        constexpr int listenerThreads = 36;
+        this->addServer(answerDone);
+        this->soundRelay->maxCalls = 16; // half of the listener's connections, as in PlatformNode
+        std::vector<std::unique_ptr<CallerSocket>> kept;
+        const std::string fields = "Lovagecross-Relayed-For: other\r\nTime: 1000\r\n";
+        for (int i = 0; i < listenerThreads; ++i) {
+            auto connection = std::make_unique<CallerSocket>(this->relayAddress);
+            connection->write(post("/unsafe/", "i" + std::to_string(i), "x", fields));
+            std::string response = connection->readResponse();
+            CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
+            if (!contains(response, "Connection: close"))
+                kept.push_back(std::move(connection));
+        }
+        std::string response = this->sendToStranded(post("/unsafe/", "r1", "x"));
+        CPPUNIT_ASSERT_MESSAGE(response, contains(response, "done"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(16), kept.size());
+    }
+
     // Guards against a head that this node accepts and the other one refuses, as it has more fields there.
     void longestHeadIsRelayed()
     {
