The soak pauses servers, changes the configuration, stops nodes as planned and counts cut responses

New faults: servers that write nothing for 1.0 to 1.6 s in a stream that has begun and go on (some or all servers of streams), series of configuration versions, SIGHUP to entry nodes. Half of the callers keep their connection until its node closes it. FaultLog keeps what was done to which node, and each response without an end is counted at its node with the fault that explains it, or with "none". A request that meets the close of its connection at a planned stop and was not run is counted as crossed_close, not as cut.

FakePlatform::remove had no caller.

--- a/lovagecross/soak/Callers.cpp
+++ b/lovagecross/soak/Callers.cpp
@@ -1,11 +1,9 @@
 #include "lovagecross/soak/Callers.h"
 
 #include "lovagecross/base/Hash.h"
+#include "lovagecross/http/MessageHead.h"
 #include "platform/HeaderNames.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <thread>
 #include <utility>
 
@@ -16,35 +14,11 @@
 constexpr int budgetTurns = 6;
 constexpr int turnTokens = eventsPerTurn * tokensPerEvent;
 constexpr int maxProgramTurns = 9;
-constexpr int callMillis = 3000;
+constexpr auto answerSlack = std::chrono::milliseconds(500); // after the deadline
+constexpr auto crossingTime = std::chrono::milliseconds(300); // in which a request meets the close of its connection
+constexpr std::uint64_t maxIdleMillis = 500; // of an open connection between requests
 constexpr int statusBudgetSpent = 402;
 
-// Reads until the connection ends or `complete`; what a broken connection left is returned.
-std::string readAnswer(Poco::Net::StreamSocket& socket)
-{
-    std::string bytes;
-    char buffer[4096];
-    try {
-        for (;;) {
-            std::size_t end = bytes.find("\r\n\r\n");
-            if (end != std::string::npos) {
-                std::size_t length = bytes.find("Content-Length: ");
-                bool chunked = length == std::string::npos || length > end;
-                if (chunked && bytes.size() >= 5 && bytes.compare(bytes.size() - 5, 5, "0\r\n\r\n") == 0)
-                    return bytes;
-                if (!chunked && bytes.size() >= end + 4 + std::stoul(bytes.substr(length + 16)))
-                    return bytes;
-            }
-            int count = socket.receiveBytes(buffer, sizeof(buffer));
-            if (count <= 0)
-                return bytes;
-            bytes.append(buffer, static_cast<std::size_t>(count));
-        }
-    } catch (const Poco::Exception&) {
-        return bytes;
-    }
-}
-
 std::string absentMessage(const std::string& id, const std::string& previous)
 {
     std::string message = "turn ";
@@ -68,18 +42,21 @@
 
 } // namespace
 
-Callers::Callers(std::vector<std::string> entryAddresses, RunLedger& runs, Findings& broken)
+Callers::Callers(std::vector<std::string> entryAddresses, const CallerSettings& callerSettings, RunLedger& runs,
+    const FaultLog& faults, Findings& broken)
     : entries(std::move(entryAddresses))
+    , settings(callerSettings)
+    , faultLog(faults)
     , ledger(runs)
     , findings(broken)
 {
 }
 
-void Callers::run(std::uint64_t seed, const std::atomic<bool>& stopping)
+void Callers::run(std::uint64_t seed, bool keepsConnection, const std::atomic<bool>& stopping)
 {
-    std::mt19937_64 random(seed);
+    Caller caller { std::mt19937_64(seed), {}, keepsConnection };
     while (!stopping)
-        this->runProgram(random);
+        this->runProgram(caller);
 }
 
 std::string Callers::newId(std::mt19937_64& random)
@@ -89,8 +66,9 @@
     return text;
 }
 
-void Callers::runProgram(std::mt19937_64& random)
+void Callers::runProgram(Caller& caller)
 {
+    std::mt19937_64& random = caller.random;
     std::string program = this->newId(random);
     std::string conversation;
     std::string previous;
@@ -99,7 +77,7 @@
     for (int turnNumber = 0; turnNumber < maxProgramTurns; ++turnNumber) {
         std::string input = "input " + std::to_string(turnNumber) + " of " + program + ";";
         std::string id;
-        Answer answer = this->turn(random, program, previous, conversation, input, id, budget);
+        Answer answer = this->turn(caller, program, previous, conversation, input, id, budget);
         delivered += answer.events * tokensPerEvent;
         if (answer.outcome == Outcome::Spent)
             break;
@@ -115,7 +93,7 @@
         } else {
             std::this_thread::sleep_for(std::chrono::milliseconds(100 + random() % 300));
         }
-        this->plainCall(random, random() % 2 == 0);
+        this->plainCall(caller, random() % 2 == 0);
     }
     if (delivered > budget + turnTokens)
         this->findings.add("budget",
@@ -123,10 +101,10 @@
                 + " tokens");
 }
 
-Callers::Answer Callers::turn(std::mt19937_64& random, const std::string& program, const std::string& previous,
+Callers::Answer Callers::turn(Caller& caller, const std::string& program, const std::string& previous,
     const std::string& conversation, const std::string& input, std::string& id, int budget)
 {
-    id = this->newId(random);
+    id = this->newId(caller.random);
     HeaderList fields;
     fields.add(platform::programField, program);
     fields.add(platform::sessionField, program);
@@ -135,18 +113,16 @@
     fields.add(bodyHashField, std::to_string(stableHash(conversation + input)));
     if (!previous.empty())
         fields.add(platform::previousTurnField, previous);
-    return this->send(this->entries[random() % this->entries.size()], "/turns/", id, input, std::move(fields));
+    return this->send(caller, "/turns/", id, input, std::move(fields));
 }
 
-void Callers::plainCall(std::mt19937_64& random, bool safe)
+void Callers::plainCall(Caller& caller, bool safe)
 {
-    std::string id = this->newId(random);
-    Answer answer
-        = this->send(this->entries[random() % this->entries.size()], safe ? "/safe/" : "/unsafe/", id, "body", {});
+    std::string id = this->newId(caller.random);
+    this->send(caller, safe ? "/safe/" : "/unsafe/", id, "body", {});
     if (!safe && this->ledger.runs(id) > 1)
         this->findings.add(
             "at most once", "request " + id + " ran " + std::to_string(this->ledger.runs(id)) + " times");
-    (void)answer;
 }
 
 Callers::Outcome Callers::classify(int status, const std::string& id)
@@ -161,38 +137,51 @@
     return status == 404 ? Outcome::Absent : Outcome::Unknown;
 }
 
-Callers::Answer Callers::send(const std::string& address, const std::string& path, const std::string& id,
-    const std::string& body, HeaderList fields)
+std::string Callers::chooseNode(Caller& caller)
+{
+    if (caller.keepsConnection)
+        std::this_thread::sleep_for(std::chrono::milliseconds(caller.random() % maxIdleMillis));
+    caller.connection.closeIfEnded();
+    const std::string& open = caller.connection.openTo();
+    return open.empty() ? this->entries[caller.random() % this->entries.size()] : open;
+}
+
+Callers::Answer Callers::send(
+    Caller& caller, const std::string& path, const std::string& id, const std::string& body, HeaderList fields)
 {
     ++this->counts.calls;
-    Answer result;
+    std::string node = this->chooseNode(caller);
     fields.add("Host", "soak.example");
     fields.add(platform::requestIdField, id);
-    fields.add(platform::deadlineField, std::to_string(callMillis));
-    fields.add("Connection", "close");
+    fields.add(platform::deadlineField, std::to_string(this->settings.callTime.count()));
+    if (!caller.keepsConnection)
+        fields.add("Connection", "close");
     fields.add("Content-Length", std::to_string(body.size()));
     std::string request = printRequestHead("POST", path + 'x', fields) + body;
-    std::string bytes;
-    try {
-        Poco::Net::StreamSocket socket;
-        socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(1, 0));
-        socket.setReceiveTimeout(Poco::Timespan(0, (callMillis + 500) * 1000));
-        socket.sendBytes(request.data(), static_cast<int>(request.size()));
-        bytes = readAnswer(socket);
-    } catch (const Poco::Exception&) {
+    auto response = caller.connection.exchange(node, request, this->settings.callTime + answerSlack);
+    if (!caller.keepsConnection)
+        caller.connection.close();
+    if (!response) {
         ++this->counts.unknown;
-        return result;
+        return {};
     }
+    if (!response->complete)
+        this->noteCut(node, id, *response);
+    return this->check(*response, path == "/turns/", id);
+}
+
+Callers::Answer Callers::check(const RawResponse& response, bool streamed, const std::string& id)
+{
+    Answer result;
+    const std::string& bytes = response.bytes;
     int status = bytes.size() > 12 ? std::atoi(bytes.c_str() + 9) : 0;
     if (status != 200) {
         result.outcome = this->classify(status, id);
         return result;
     }
-    bool streamed = path == "/turns/";
     if (streamed && !checkEvents(bytes, id, result.events))
         this->findings.add("order", "request " + id + " got " + bytes);
-    bool whole = streamed ? bytes.size() >= 5 && bytes.compare(bytes.size() - 5, 5, "0\r\n\r\n") == 0
-                          : bytes.find(plainAnswer(id)) != std::string::npos;
+    bool whole = streamed ? response.complete : bytes.find(plainAnswer(id)) != std::string::npos;
     if (!streamed && !whole)
         this->findings.add("own answer", "request " + id + " got " + bytes);
     if (whole && streamed && result.events != eventsPerTurn)
@@ -203,6 +192,41 @@
     return result;
 }
 
+// Why a response had no end, by what the soak knows.
+Callers::CutReason Callers::reasonOfCut(const std::string& node, const std::string& id, const RawResponse& response)
+{
+    auto waited = response.ended - response.sent;
+    bool crossed = response.bytes.empty() && waited < crossingTime && this->ledger.runs(id) == 0;
+    if (crossed && this->faultLog.wasStopping(node, response.ended))
+        return "crossed_close";
+    if (auto fault = this->faultLog.find(node, response.sent, response.ended))
+        return faultNames.name(*fault);
+    if (!response.bytes.empty() && waited >= this->settings.callTime * 9 / 10)
+        return "deadline";
+    return noReason;
+}
+
+void Callers::noteCut(const std::string& node, const std::string& id, const RawResponse& response)
+{
+    CutReason reason = this->reasonOfCut(node, id, response);
+    {
+        std::lock_guard lock(this->mutex);
+        ++this->cutsByNode[node][reason];
+    }
+    if (reason != noReason || !this->settings.cutsAreBroken)
+        return;
+    auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(response.ended - response.sent);
+    this->findings.add("cut",
+        "request " + id + " at " + node + " ended after " + std::to_string(waited.count()) + " ms with "
+            + std::to_string(response.bytes.size()) + " bytes and no end");
+}
+
+Callers::CutCounts Callers::cuts() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->cutsByNode;
+}
+
 void Callers::checkRefusals()
 {
     std::lock_guard lock(this->mutex);
--- a/lovagecross/soak/FakePlatform.cpp
+++ b/lovagecross/soak/FakePlatform.cpp
@@ -74,17 +74,6 @@
     this->store(kind, name, spec);
 }
 
-void FakePlatform::remove(const std::string& kind, const std::string& name)
-{
-    std::lock_guard lock(this->mutex);
-    auto found = this->kinds[kind].find(name);
-    if (found == this->kinds[kind].end())
-        return;
-    ++this->revision;
-    this->addChange(kind, print(name, found->second), true);
-    this->kinds[kind].erase(found);
-}
-
 void FakePlatform::forgetHistory()
 {
     std::lock_guard lock(this->mutex);
--- a/lovagecross/soak/FakePlatform.h
+++ b/lovagecross/soak/FakePlatform.h
@@ -20,7 +20,6 @@
 public:
     // Writes an object as the operator or a server does.
     void put(const std::string& kind, const std::string& name, const std::string& spec);
-    void remove(const std::string& kind, const std::string& name);
 
     // Drops the history: every waiting or later watch of an older revision is answered with 410.
     void forgetHistory();
--- a/lovagecross/soak/FakeServers.cpp
+++ b/lovagecross/soak/FakeServers.cpp
@@ -16,6 +16,8 @@
 
 constexpr auto plainWork = std::chrono::milliseconds(8);
 constexpr auto eventWork = std::chrono::milliseconds(12);
+constexpr auto pauseSpacing = std::chrono::milliseconds(500);
+constexpr auto pausePollInterval = std::chrono::milliseconds(2);
 
 std::string requestIdOf(const testing::ScriptedRequest& request)
 {
@@ -76,6 +78,26 @@
             this->service, this->forwarder->address(), this->dataCentre, ready, ++this->sequence));
 }
 
+void FakeServer::pauseInNextStream(std::chrono::milliseconds time)
+{
+    this->nextPause = time;
+}
+
+void FakeServer::pauseIfDue()
+{
+    auto time = this->nextPause.exchange(std::chrono::milliseconds(0));
+    auto now = std::chrono::steady_clock::now();
+    if (time.count() > 0 && now > this->pausedUntil.load() + pauseSpacing)
+        this->pausedUntil = now + time;
+}
+
+bool FakeServer::write(testing::ScriptedConnection& connection, const std::string& bytes) const
+{
+    while (std::chrono::steady_clock::now() < this->pausedUntil.load())
+        std::this_thread::sleep_for(pausePollInterval);
+    return connection.write(bytes);
+}
+
 bool FakeServer::answer(const testing::ScriptedRequest& request, testing::ScriptedConnection& connection)
 {
     std::string requestId = requestIdOf(request);
@@ -83,14 +105,14 @@
         HeaderList headers;
         headers.add(platform::requestIdField, requestId);
         headers.add("Content-Length", "0");
-        return connection.write(printResponseHead(421, reasonPhrase(421), headers));
+        return this->write(connection, printResponseHead(421, reasonPhrase(421), headers));
     }
     this->ledger.ran(requestId);
-    if (this->service == "model")
+    if (this->streams())
         return this->stream(request, connection);
     std::this_thread::sleep_for(plainWork);
     std::string body = plainAnswer(requestId);
-    return connection.write(head(request, "Content-Length", std::to_string(body.size())) + body);
+    return this->write(connection, head(request, "Content-Length", std::to_string(body.size())) + body);
 }
 
 bool FakeServer::stream(const testing::ScriptedRequest& request, testing::ScriptedConnection& connection)
@@ -100,15 +122,17 @@
     if (!expected.empty() && expected != std::to_string(stableHash(request.body)))
         this->findings.add("conversation", "request " + requestId + " carries another conversation: " + request.body);
     std::string after = request.header(std::string(platform::lastEventField));
-    if (!connection.write(head(request, "Transfer-Encoding", "chunked")))
+    if (!this->write(connection, head(request, "Transfer-Encoding", "chunked")))
         return false;
     for (int event = after.empty() ? 1 : std::stoi(after) + 1; event <= eventsPerTurn; ++event) {
         std::this_thread::sleep_for(eventWork);
-        if (!connection.write(
+        if (event > 1)
+            this->pauseIfDue();
+        if (!this->write(connection,
                 printChunk("id: " + std::to_string(event) + "\ndata: " + eventData(requestId, event) + "\n\n")))
             return false;
     }
-    return connection.write(std::string(lastChunk));
+    return this->write(connection, std::string(lastChunk));
 }
 
 } // namespace lovagecross::soak
--- a/lovagecross/soak/FakeServers.h
+++ b/lovagecross/soak/FakeServers.h
@@ -11,6 +11,7 @@
 #include "lovagecross/testing/TcpForwarder.h"
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -45,12 +46,20 @@
 
     // Writes the registry entry; `ready` false: it is leaving.
     void heartbeat(FakePlatform& platform, bool ready);
+
+    // Once a stream that has begun comes to its next event, all of the server's responses stop for `time`. It still
+    // accepts connections and reads requests.
+    void pauseInNextStream(std::chrono::milliseconds time);
+
+    bool streams() const { return this->service == "model"; }
     const std::string& id() const { return this->serverId; }
 
     // Between the nodes and this server.
     testing::TcpForwarder& link() { return *this->forwarder; }
 
 private:
+    void pauseIfDue();
+    bool write(testing::ScriptedConnection& connection, const std::string& bytes) const;
     bool answer(const testing::ScriptedRequest& request, testing::ScriptedConnection& connection);
     bool stream(const testing::ScriptedRequest& request, testing::ScriptedConnection& connection);
 
@@ -60,6 +69,8 @@
     RunLedger& ledger;
     Findings& findings;
     std::atomic<int> sequence { 0 };
+    std::atomic<std::chrono::milliseconds> nextPause { std::chrono::milliseconds(0) };
+    std::atomic<std::chrono::steady_clock::time_point> pausedUntil { std::chrono::steady_clock::time_point() };
     std::unique_ptr<testing::ScriptedServer> server;
     std::unique_ptr<testing::TcpForwarder> forwarder;
 };
--- a/lovagecross/testing/ProcessHarness.cpp
+++ b/lovagecross/testing/ProcessHarness.cpp
@@ -135,6 +135,11 @@
     this->sendSignal(SIGTERM);
 }
 
+void ChildProcess::hangUp()
+{
+    this->sendSignal(SIGHUP);
+}
+
 void ChildProcess::pause()
 {
     this->sendSignal(SIGSTOP);
--- a/lovagecross/testing/ProcessHarness.h
+++ b/lovagecross/testing/ProcessHarness.h
@@ -49,6 +49,7 @@
     // Ends the process with SIGKILL and reaps it. Returns when it is gone.
     void kill();
     void terminate(); // SIGTERM
+    void hangUp(); // SIGHUP
     void pause(); // SIGSTOP; returns when the process has stopped
     void resume(); // SIGCONT
 
