--- a/lovagecross/gateway/CallRunner.h
+++ b/lovagecross/gateway/CallRunner.h
@@ -52,14 +52,14 @@
     Moves, // continues at another server
     NoOtherServer, // waits, as no other server can take the stream now
     LastAttempt, // waits, as no other server may run the call
-    GivesUp, // leaves a server that can't be reached for any other one: the caller has received nothing
+    LeavesUnreachable, // leaves a server that can't be reached for any other one: the caller has received nothing
 };
 
 inline constexpr NameTable<SilenceDecision, 4> silenceDecisionNames { { {
     { SilenceDecision::Moves, "moves" },
     { SilenceDecision::NoOtherServer, "no_other_server" },
     { SilenceDecision::LastAttempt, "last_attempt" },
-    { SilenceDecision::GivesUp, "gives_up" },
+    { SilenceDecision::LeavesUnreachable, "leaves_unreachable" },
 } } };
 
 class CallRunner {
@@ -112,7 +112,7 @@
     bool prepareSuccessor();
     bool hasUntriedServer() const;
     bool mayFindServer(const std::vector<ServerEntry>& servers) const;
-    AttemptOutcome waitForServer(const std::vector<ServerEntry>& servers);
+    AttemptOutcome waitBeforeNextTry(const std::vector<ServerEntry>& servers);
     bool waitOrCallerLeaves(Duration wait);
     bool serverListTooOld() const;
     void logSilence(const ServerEntry& server, const SilentStream& stream, SilenceDecision decision);
--- a/lovagecross/gateway/CallRunnerAttempts.cpp
+++ b/lovagecross/gateway/CallRunnerAttempts.cpp
@@ -50,7 +50,7 @@
             this->lastFailure = "server_list_too_old";
         else
             chosen = this->chooseServer(request, servers);
-        outcome = chosen ? this->runAttemptIfPermitted(found, *chosen) : this->waitForServer(servers);
+        outcome = chosen ? this->runAttemptIfPermitted(found, *chosen) : this->waitBeforeNextTry(servers);
     }
     if (this->successor)
         this->endCount(*this->successor, CallOutcome::Withheld);
@@ -113,7 +113,8 @@
         return outcome;
     }
     if (!this->obtainPermit(server))
-        return this->deniedPermits < maxDeniedPermits ? AttemptOutcome::TryNextServer : this->waitForServer({ server });
+        return this->deniedPermits < maxDeniedPermits ? AttemptOutcome::TryNextServer
+                                                      : this->waitBeforeNextTry({ server });
     return this->runAttempt(found, server);
 }
 
--- a/lovagecross/gateway/CallRunnerSilence.cpp
+++ b/lovagecross/gateway/CallRunnerSilence.cpp
@@ -43,7 +43,7 @@
 }
 
 // Whether to end the exchange with a server that has sent no event for a while. Then either `successor` is set, or the
-// caller has received nothing and this node can't reach the server.
+// caller has received nothing and any other server may be tried.
 bool CallRunner::leavesSilentServer(const ServerEntry& server)
 {
     TimePoint now = this->parts.clock.now();
@@ -62,8 +62,8 @@
         decision = SilenceDecision::Moves;
     else if (attemptsLeft && !this->headWritten && stream.contact == ServerContact::Unreachable
         && this->hasUntriedServer())
-        decision = SilenceDecision::GivesUp;
-    bool leaves = decision == SilenceDecision::Moves || decision == SilenceDecision::GivesUp;
+        decision = SilenceDecision::LeavesUnreachable;
+    bool leaves = decision == SilenceDecision::Moves || decision == SilenceDecision::LeavesUnreachable;
     if (leaves || !this->silenceLogged)
         this->logSilence(server, stream, decision);
     return leaves;
@@ -123,7 +123,7 @@
 
 // Called when no server can be chosen. Waits for one if the stream has begun: the list may be read anew, a server may
 // have room again, or get a permit, or be reached. Returns TryNextServer if servers should be tried again.
-CallRunner::AttemptOutcome CallRunner::waitForServer(const std::vector<ServerEntry>& servers)
+CallRunner::AttemptOutcome CallRunner::waitBeforeNextTry(const std::vector<ServerEntry>& servers)
 {
     if (!this->headWritten)
         return AttemptOutcome::GiveUp;
