--- a/lovagecross/records/RecordPauseTest.cpp
+++ b/lovagecross/records/RecordPauseTest.cpp
@@ -2,6 +2,8 @@
 
 #include "lovagecross/records/RecordStoreFixture.h"
 
+#include <atomic>
+
 namespace lovagecross {
 
 using std::chrono::milliseconds;
@@ -35,12 +37,18 @@
     void turnIsStoredAfterAPauseOfAllRecordNodes()
     {
         this->setRecordNodesPartitioned(true);
-        std::thread end([this] { // as soon as the client takes itself for cut off
-            waitFor([this] { return this->client->reachability() == Reachability::Partitioned; });
+        std::atomic<bool> ended { false };
+        std::thread end([&] {
+            auto partitioned = [this] { return this->client->reachability() == Reachability::Partitioned; };
+            waitFor([&] { return ended || partitioned(); });
+            // A client that gives up now makes one more attempt at most.
+            std::uint64_t writes = this->store.counters().writes;
+            waitFor([&] { return ended || this->store.counters().writes >= writes + 2; });
             this->setRecordNodesPartitioned(false);
         });
         Duration taken;
         bool kept = this->keepFor(std::chrono::seconds(4), taken);
+        ended = true;
         end.join();
         CPPUNIT_ASSERT(kept);
     }
