--- a/review/common-2/Deployment.h
+++ b/review/common-2/Deployment.h
@@ -26,6 +26,7 @@
 #include <mutex>
 #include <stdexcept>
 #include <string>
+#include <sys/resource.h>
 #include <thread>
 #include <vector>
 
@@ -94,6 +95,7 @@
         : folder(makeFolder())
         , harness(folder)
     {
+        allowDescriptors();
         this->platform.put("config", "main", configuration);
         constexpr int recordNodes = 3;
         for (int i = 0; i < entryNodes; ++i)
@@ -203,6 +205,16 @@
         std::unique_ptr<lovagecross::testing::ScriptedServer> server;
     };
 
+    // As many descriptors as the sheets give a VM; the nodes inherit the limit.
+    static void allowDescriptors()
+    {
+        constexpr rlim_t wanted = 4100;
+        rlimit limit {};
+        ::getrlimit(RLIMIT_NOFILE, &limit);
+        limit.rlim_cur = std::max(limit.rlim_cur, std::min(wanted, limit.rlim_max));
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+
     static std::string makeFolder()
     {
         const char* base = std::getenv("TMPDIR");
