--- a/review/common-2/Caller.h
+++ b/review/common-2/Caller.h
@@ -79,6 +79,9 @@
         }
     }
 
+    // Before the next request on the same connection; the response before must be complete.
+    void forgetResponse() { this->received.clear(); }
+
 private:
     Response parse() const
     {
--- a/review/common-2/Deployment.h
+++ b/review/common-2/Deployment.h
@@ -11,6 +11,7 @@
 // Thread safety: none, except `Record`.
 
 #include "Caller.h"
+#include "LinkProxy.h"
 #include "Platform.h"
 
 #include "lovagecross/testing/ProcessHarness.h"
@@ -86,6 +87,7 @@
     std::string relayAddress;
     std::string metricsAddress;
     std::string dataFolder;
+    std::unique_ptr<LinkProxy> link; // between the other nodes and this one; none: as fast as the machine is
     ChildProcess* process = nullptr;
 };
 
@@ -122,6 +124,15 @@
             std::make_unique<lovagecross::testing::ScriptedServer>(std::move(script)) }));
     }
 
+    // Gives the record nodes links of this speed. Must be called before `start`.
+    void limitLinks(double megabitsPerSecond)
+    {
+        for (Node& node : this->nodes) {
+            if (node.records)
+                node.link = std::make_unique<LinkProxy>(node.peerAddress, megabitsPerSecond);
+        }
+    }
+
     // Starts all nodes, and returns once every entry node says that it is ready.
     void start()
     {
@@ -256,6 +267,8 @@
             text += R"(,"callerAddress":")" + node.callerAddress + R"(","readyAddress":")" + node.readyAddress
                 + R"(","readyPath":"/api/readiness")";
         text += R"(,"peerAddress":")" + node.peerAddress + '"';
+        if (node.link)
+            text += R"(,"advertisedAddress":")" + node.link->address() + '"';
         if (!node.records)
             text += R"(,"relayAddress":")" + node.relayAddress + '"';
         text += R"(,"metricsAddress":")" + node.metricsAddress + R"(","platformAddress":")" + this->platform.address()
