--- a/review/common-2/Platform.h
+++ b/review/common-2/Platform.h
@@ -44,6 +44,8 @@
     }
 
 private:
+    static constexpr std::size_t maxObjectBytes = 1'048'576; // `value_bytes` of the settings
+
     struct Object {
         std::uint64_t revision = 0;
         std::string spec;
@@ -147,7 +149,9 @@
         std::string query = mark < target.size() ? target.substr(mark + 1) : std::string();
         Reply reply { 404, "{}" };
         constexpr std::string_view prefix = "/api/objects/";
-        if (target.compare(0, prefix.size(), prefix) == 0)
+        if (request.body.size() > maxObjectBytes)
+            reply.status = 413;
+        else if (target.compare(0, prefix.size(), prefix) == 0)
             reply = this->serve(method, target.substr(prefix.size(), mark - prefix.size()), query, request.body);
         return connection.write("HTTP/1.1 " + std::to_string(reply.status)
             + " Answer\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(reply.body.size())
