--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,8 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 flags=(-std=c++20 -O1 -g -I. -Ireview/common-2)
-shared=(lovagecross/testing/ScriptedServer.cpp lovagecross/testing/ProcessHarness.cpp)
+shared=(lovagecross/testing/ScriptedServer.cpp lovagecross/testing/TcpForwarder.cpp
+    lovagecross/testing/ProcessHarness.cpp)
 libraries=(target/lovagecross/config/liblovagecross_config.a target/lovagecross/base/liblovagecross_base.a
     -lPocoNet -lPocoJSON -lPocoFoundation -lpthread)
 for folder in review/[0-9]*/; do
