review: harness changes for two more cases

Adds turns on a kept channel, workers that keep no list, and the largest object of the stand-in platform. Why: the next cases need them.

--- a/review/common-3/Lab.h
+++ b/review/common-3/Lab.h
@@ -182,6 +182,7 @@
         ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
     }
     int descriptor() const { return this->fd; }
+    bool closedByPeer() const { return this->ended; }
 
     bool send(std::string_view bytes) const
     {
@@ -230,7 +231,8 @@
             return false;
         std::array<char, 16384> bytes {};
         ssize_t count = ::recv(this->fd, bytes.data(), bytes.size(), 0);
-        if (count <= 0)
+        this->ended = count <= 0;
+        if (this->ended)
             return false;
         this->buffer.append(bytes.data(), static_cast<std::size_t>(count));
         return true;
@@ -268,6 +270,7 @@
     }
 
     int fd;
+    bool ended = false; // the peer has closed or reset the connection
     std::string buffer;
 };
 
@@ -428,6 +431,8 @@
     }
 
 private:
+    static constexpr std::size_t valueBytes = 1'048'576; // the most that an object may have
+
     struct Object {
         std::string spec;
         std::string status = "null";
@@ -497,6 +502,8 @@
         std::string rest = path.substr(root.size());
         std::size_t slash = rest.find('/');
         std::string kind = rest.substr(0, slash);
+        if (memberOf(request.body, "spec").size() > valueBytes)
+            return response(413, "{}");
         if (slash == std::string::npos)
             return request.method() == "POST" ? this->create(kind, request.body) : this->list(kind, target);
         return this->object(request, kind, rest.substr(slash + 1), target);
@@ -897,6 +904,7 @@
     }
 
     int eventsPerRun = 25;
+    std::atomic<bool> quiet { false }; // keeps no list of runs and writes no lines
 
 private:
     bool serve(const Message& request, Connection& connection)
@@ -907,12 +915,12 @@
             return connection.send(response(421, "{}", echo + "X-Lovagecross-Instance-Id: " + this->id + "\r\n"));
         if (request.target() == "/health")
             return connection.send(response(200, "{}", "X-Lovagecross-Instance-Id: " + this->id + "\r\n"));
-        {
+        if (!this->quiet) {
+            this->record.line("worker " + this->id + " runs " + request.header("X-Lovagecross-Request-Id") + ", body \""
+                + escaped(request.body) + '"');
             std::lock_guard lock(this->mutex);
             this->allRuns.push_back({ request.header("X-Lovagecross-Request-Id"), request.body });
         }
-        this->record.line("worker " + this->id + " runs " + request.header("X-Lovagecross-Request-Id") + ", body \""
-            + escaped(request.body) + '"');
         std::string bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + echo
             + "X-Lovagecross-Server-Signature: 3e1b.07.5a2\r\nTransfer-Encoding: chunked\r\n\r\n";
         for (int i = 1; i <= this->eventsPerRun; ++i) {
@@ -975,15 +983,16 @@
     int status = 0; // 0 if none came
     int events = 0;
     bool whole = false;
+    bool closed = false; // the node closed the channel before the answer was whole
 };
 
-// Sends one turn on a new connection, as a consumer does.
-inline TurnAnswer sendTurn(const Machine& entry, const Turn& turn, Record& record, const std::string& path = "/chat/4b")
+// Sends one turn on an open connection. Writes no line without a record.
+inline TurnAnswer sendTurnOn(Connection& connection, const std::string& entryName, const Turn& turn, Record* record)
 {
     constexpr auto patience = milliseconds(4000);
-    Connection connection(connectTo(entry.callerPort));
+    constexpr auto watched = patience + milliseconds(1000); // to see what becomes of the channel
     std::ostringstream head;
-    head << "POST " << path << " HTTP/1.1\r\nHost: desk.example\r\nX-Lovagecross-Request-Id: " << turn.request
+    head << "POST /chat/4b HTTP/1.1\r\nHost: desk.example\r\nX-Lovagecross-Request-Id: " << turn.request
          << "\r\nX-Lovagecross-Program-Id: " << turn.program << "\r\nX-Lovagecross-Session-Id: " << turn.program
          << "\r\nX-Lovagecross-Program-Deadline-Ms: 60000\r\nX-Lovagecross-Token-Budget: " << turn.budget
          << "\r\nX-Lovagecross-Token-Usage: 100," << turn.maxTokens
@@ -993,19 +1002,32 @@
     head << "Content-Length: " << turn.input.size() << "\r\n\r\n" << turn.input;
     TurnAnswer answer;
     Message message;
-    if (connection.open() && connection.send(head.str()) && connection.read(message, SteadyClock::now() + patience)) {
+    if (connection.open() && connection.send(head.str()) && connection.read(message, SteadyClock::now() + watched)) {
         answer.status = message.status();
         answer.whole = message.whole;
+        answer.closed = !message.whole && connection.closedByPeer();
         for (std::size_t at = 0; (at = message.body.find("\ndata:", at)) != std::string::npos; ++at)
             ++answer.events;
     }
-    record.line("turn " + turn.request + " of " + turn.program
-        + (turn.previous.empty() ? "" : " after " + turn.previous) + " at " + entry.name + ": "
+    if (record == nullptr)
+        return answer;
+    record->line("turn " + turn.request + " of " + turn.program
+        + (turn.previous.empty() ? "" : " after " + turn.previous) + " at " + entryName + ": "
         + std::to_string(answer.status) + ", events " + std::to_string(answer.events)
-        + (answer.whole ? ", whole" : ", not whole") + (answer.status / 100 == 2 ? "" : ", " + message.body));
+        + (answer.whole         ? ", whole"
+                : answer.closed ? ", not whole, closed"
+                                : ", not whole")
+        + (answer.status / 100 == 2 ? "" : ", " + message.body));
     return answer;
 }
 
+// Sends one turn on a new connection, as a consumer does.
+inline TurnAnswer sendTurn(const Machine& entry, const Turn& turn, Record* record)
+{
+    Connection connection(connectTo(entry.callerPort));
+    return sendTurnOn(connection, entry.name, turn, record);
+}
+
 inline bool isReady(const Machine& entry)
 {
     Connection connection(connectTo(entry.readyPort));
