review: case of record nodes that can't start again

A record node needs twice its log to load it, is over its memory limit, is killed and started again without end.

--- a/review/common-3/Lab.h
+++ b/review/common-3/Lab.h
@@ -687,7 +687,8 @@
         text << "{ \"mode\": \"" << (entry ? "entry" : "records") << "\", \"node\": \"" << machine.name
              << "\", \"dataCentre\": \"" << machine.zone << "\", \"peerAddress\": \"" << addressOf(ownPort)
              << "\", \"advertisedAddress\": \"" << addressOf(machine.peerPort) << "\", \"platformAddress\": \""
-             << addressOf(this->platformPort) << "\", \"seeds\": [" << this->seeds << "], \"memoryMegabytes\": 130";
+             << addressOf(this->platformPort) << "\", \"seeds\": [" << this->seeds
+             << "], \"memoryMegabytes\": " << (entry ? 110 : 130);
         if (entry)
             text << ", \"callerAddress\": \"" << addressOf(machine.callerPort) << "\", \"readyAddress\": \""
                  << addressOf(machine.readyPort) << "\", \"readyPath\": \"/api/readiness\"";
@@ -878,9 +879,11 @@
         std::string body;
     };
 
-    Worker(std::string workerId, std::string zoneName, Platform& objectStore, Machines& machines, Record& caseRecord)
+    Worker(std::string workerId, std::string zoneName, Platform& objectStore, Machines& machines, Record& caseRecord,
+        std::string serviceName = "models")
         : id(std::move(workerId))
         , zone(std::move(zoneName))
+        , service(std::move(serviceName))
         , platform(objectStore)
         , record(caseRecord)
         , server(0, [this](const Message& request, Connection& connection) { return this->serve(request, connection); })
@@ -905,6 +908,7 @@
 
     int eventsPerRun = 25;
     std::atomic<bool> quiet { false }; // keeps no list of runs and writes no lines
+    std::atomic<int> workMillis { 0 }; // before the answer
 
 private:
     bool serve(const Message& request, Connection& connection)
@@ -921,6 +925,9 @@
             std::lock_guard lock(this->mutex);
             this->allRuns.push_back({ request.header("X-Lovagecross-Request-Id"), request.body });
         }
+        std::this_thread::sleep_for(milliseconds(this->workMillis));
+        if (this->service != "models")
+            return connection.send(response(200, "{}", echo + "X-Lovagecross-Server-Signature: 3e1b.07.5a2\r\n"));
         std::string bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + echo
             + "X-Lovagecross-Server-Signature: 3e1b.07.5a2\r\nTransfer-Encoding: chunked\r\n\r\n";
         for (int i = 1; i <= this->eventsPerRun; ++i) {
@@ -945,7 +952,8 @@
         auto born = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         for (int sequence = 1; !this->stopping; ++sequence) {
             this->platform.put("servers", this->id,
-                "{\"service\":\"models\",\"address\":\"" + addressOf(this->publicPort) + "\",\"zone\":\"" + this->zone
+                "{\"service\":\"" + this->service + "\",\"address\":\"" + addressOf(this->publicPort) + "\",\"zone\":\""
+                    + this->zone
                     + "\",\"version\":\"v1\",\"slots\":24,\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":"
                       "\"both\","
                       "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":"
@@ -957,6 +965,7 @@
 
     const std::string id;
     const std::string zone;
+    const std::string service;
     Platform& platform;
     Record& record;
     mutable std::mutex mutex;
@@ -1028,6 +1037,28 @@
     return sendTurnOn(connection, entry.name, turn, record);
 }
 
+// Sends one request that isn't idempotent on an open connection.
+inline TurnAnswer sendOrder(Connection& connection, const std::string& entryName, const std::string& id,
+    const std::string& body, Record& record)
+{
+    constexpr auto patience = milliseconds(3000);
+    std::string head = "POST /order/2f HTTP/1.1\r\nHost: desk.example\r\nX-Lovagecross-Request-Id: " + id
+        + "\r\nX-Lovagecross-Deadline-Ms: " + std::to_string(patience.count())
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    TurnAnswer answer;
+    Message message;
+    bool sent = connection.open() && connection.send(head) && connection.send(body);
+    if (connection.read(message, SteadyClock::now() + patience)) {
+        answer.status = message.status();
+        answer.whole = message.whole;
+    }
+    answer.closed = !answer.whole && connection.closedByPeer();
+    record.line("order " + id + " of " + std::to_string(body.size()) + " bytes at " + entryName + ": "
+        + (answer.status == 0 ? "no answer" : std::to_string(answer.status)) + (sent ? "" : ", not sent whole")
+        + (answer.closed ? ", closed" : ""));
+    return answer;
+}
+
 inline bool isReady(const Machine& entry)
 {
     Connection connection(connectTo(entry.readyPort));
@@ -1047,6 +1078,92 @@
     return true;
 }
 
+// --- Memory limits
+
+constexpr double bytesPerMegabyte = 1024.0 * 1024.0;
+constexpr auto restartDelay = milliseconds(500);
+constexpr auto memoryCheckInterval = milliseconds(2);
+
+// The memory that the process has written to, without what it has mapped of its own file.
+inline double usedMegabytes(pid_t pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.rfind("RssAnon:", 0) == 0)
+            return std::strtod(line.c_str() + 8, nullptr) * 1024 / bytesPerMegabyte;
+    }
+    return 0;
+}
+
+// The platform's part: ends processes over their memory limit, and starts again what has ended.
+class Supervisor {
+public:
+    Supervisor(Machines& allMachines, std::vector<std::string> watched, int limitMegabytes, Record& caseRecord)
+        : machines(allMachines)
+        , names(std::move(watched))
+        , limit(limitMegabytes)
+        , record(caseRecord)
+        , thread([this] { this->run(); })
+    {
+    }
+    ~Supervisor()
+    {
+        this->stopping = true;
+        this->thread.join();
+    }
+    Supervisor(const Supervisor&) = delete;
+    Supervisor& operator=(const Supervisor&) = delete;
+
+    int ends() const { return this->endCount; }
+    double peak() const { return this->peakMegabytes; }
+
+    std::mutex mutex; // held while machines are killed or started
+
+private:
+    void run()
+    {
+        while (!this->stopping) {
+            for (const std::string& name : this->names)
+                this->check(this->machines.get(name));
+            std::this_thread::sleep_for(memoryCheckInterval);
+        }
+    }
+
+    void check(Machine& machine)
+    {
+        std::lock_guard lock(this->mutex);
+        auto due = this->restartAt.find(machine.name);
+        if (due != this->restartAt.end()) {
+            if (SteadyClock::now() < due->second)
+                return;
+            this->restartAt.erase(due);
+            this->machines.start(machine, false);
+            return;
+        }
+        double used = machine.pid > 0 ? usedMegabytes(machine.pid) : 0;
+        this->peakMegabytes = std::max(this->peakMegabytes.load(), used);
+        bool over = used > this->limit;
+        if (!over && !(machine.pid > 0 && Machines::ended(machine)))
+            return;
+        ++this->endCount;
+        this->machines.kill(machine,
+            over ? ("it uses " + std::to_string(static_cast<int>(used)) + " MB, more than its memory_mb").c_str()
+                 : "it has ended by itself");
+        this->restartAt[machine.name] = SteadyClock::now() + restartDelay;
+    }
+
+    Machines& machines;
+    const std::vector<std::string> names;
+    const int limit;
+    Record& record;
+    std::map<std::string, SteadyClock::time_point> restartAt;
+    std::atomic<int> endCount { 0 };
+    std::atomic<double> peakMegabytes { 0 };
+    std::atomic<bool> stopping { false };
+    std::thread thread;
+};
+
 // --- A deployment like the small site: three zones with a record node, an entry node and a worker each
 
 constexpr int exitHeld = 0;
@@ -1072,7 +1189,11 @@
     return "{\"version\":7,\"routes\":[{\"name\":\"chat\",\"host\":\"desk.example\",\"path_prefix\":\"/chat/\","
            "\"kind\":\"streaming\",\"timeout_ms\":4000,\"target_latency_ms\":500,\"priority\":2,\"service\":\"models\","
            "\"max_attempts\":2,\"stateful\":true,\"retention_s\":60.0,\"sticky\":true,\"resumable\":false,"
-           "\"target_gap_ms\":200}],\"services\":[{\"name\":\"models\",\"health_path\":\"/health\","
+           "\"target_gap_ms\":200},{\"name\":\"order\",\"host\":\"desk.example\",\"path_prefix\":\"/order/\","
+           "\"kind\":\"unsafe\",\"timeout_ms\":3000,\"target_latency_ms\":400,\"priority\":2,\"service\":\"press\","
+           "\"max_attempts\":1,\"stateful\":false,\"retention_s\":60.0,\"sticky\":false,\"resumable\":false}],"
+           "\"services\":[{\"name\":\"press\",\"health_path\":\"/health\",\"max_connections\":110,"
+           "\"protocol\":\"h1\",\"tls\":false},{\"name\":\"models\",\"health_path\":\"/health\","
            "\"max_connections\":210,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":24,\"kv_tokens\":274490,"
            "\"kv_bytes\":192512,\"link_mbps\":1500000.0,\"moves\":true,\"backups\":true,\"tokens_per_event\":4,"
            "\"most\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}}],"
