--- a/review/common-3/Lab.h
+++ b/review/common-3/Lab.h
@@ -612,10 +612,17 @@
 
 class Machines;
 
+// One end of a link.
+struct LinkEnd {
+    std::string machine; // empty for a worker
+    std::string zone; // empty if unknown
+};
+
 // Carries the connections to one address of a machine.
 class LinkProxy {
 public:
-    LinkProxy(int publicPort, int targetPort, std::string zoneName, Machines& allMachines);
+    // `machineName` is empty for a worker.
+    LinkProxy(int publicPort, int targetPort, std::string machineName, std::string zoneName, Machines& allMachines);
     ~LinkProxy();
     LinkProxy(const LinkProxy&) = delete;
     LinkProxy& operator=(const LinkProxy&) = delete;
@@ -625,7 +632,7 @@
     void carry(int client);
 
     const int target;
-    const std::string zone;
+    const LinkEnd end;
     Machines& machines;
     int boundPort = 0;
     int listener;
@@ -701,7 +708,8 @@
         std::ofstream(path) << text.str();
         std::lock_guard lock(this->mutex);
         this->proxies[machine.name].reset();
-        this->proxies[machine.name] = std::make_unique<LinkProxy>(machine.peerPort, ownPort, machine.zone, *this);
+        this->proxies[machine.name]
+            = std::make_unique<LinkProxy>(machine.peerPort, ownPort, machine.name, machine.zone, *this);
         machine.pid = ::fork();
         if (machine.pid == 0) {
             int log = ::open((machine.folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -741,25 +749,45 @@
         this->cut.erase(zone);
     }
 
-    bool isCut(const std::string& one, const std::string& other) const
+    // Partitions a record node from the other record nodes; all others reach it.
+    void cutRecords(const std::string& name)
+    {
+        this->record.line("machine " + name + " is partitioned from the other record nodes");
+        std::lock_guard lock(this->cutMutex);
+        this->cutNode = name;
+    }
+
+    void healRecords(const std::string& name)
+    {
+        this->record.line("machine " + name + " is reachable again");
+        std::lock_guard lock(this->cutMutex);
+        this->cutNode.clear();
+    }
+
+    bool isCut(const LinkEnd& one, const LinkEnd& other) const
     {
         std::lock_guard lock(this->cutMutex);
-        return one != other && (this->cut.count(one) > 0 || this->cut.count(other) > 0);
+        bool zonesKnown = !one.zone.empty() && !other.zone.empty();
+        if (zonesKnown && one.zone != other.zone && (this->cut.count(one.zone) > 0 || this->cut.count(other.zone) > 0))
+            return true;
+        auto isRecords = [](const LinkEnd& end) { return end.machine.rfind("records-", 0) == 0; };
+        return !this->cutNode.empty() && one.machine != other.machine && isRecords(one) && isRecords(other)
+            && (one.machine == this->cutNode || other.machine == this->cutNode);
     }
 
-    // The zone of the process that opened a connection, or an empty text.
-    std::string zoneOfClient(int clientPort, int proxyPort) const
+    // The machine whose process opened a connection.
+    LinkEnd clientOf(int clientPort, int proxyPort) const
     {
         std::vector<pid_t> pids;
-        std::map<pid_t, std::string> zones;
+        std::map<pid_t, LinkEnd> ends;
         for (const auto& [name, machine] : this->all) {
             if (machine.pid > 0) {
                 pids.push_back(machine.pid);
-                zones[machine.pid] = machine.zone;
+                ends[machine.pid] = { name, machine.zone };
             }
         }
         pid_t owner = ownerOf(clientPort, proxyPort, pids);
-        return owner == 0 ? std::string() : zones[owner];
+        return owner == 0 ? LinkEnd {} : ends[owner];
     }
 
     // Whether the process has ended by itself.
@@ -800,14 +828,16 @@
     const std::string daemon;
     std::mutex mutex;
     mutable std::mutex cutMutex;
-    std::set<std::string> cut;
+    std::set<std::string> cut; // zones
+    std::string cutNode; // record node
     std::map<std::string, Machine> all; // complete before the first start
     std::map<std::string, std::unique_ptr<LinkProxy>> proxies;
 };
 
-inline LinkProxy::LinkProxy(int publicPort, int targetPort, std::string zoneName, Machines& allMachines)
+inline LinkProxy::LinkProxy(
+    int publicPort, int targetPort, std::string machineName, std::string zoneName, Machines& allMachines)
     : target(targetPort)
-    , zone(std::move(zoneName))
+    , end { std::move(machineName), std::move(zoneName) }
     , machines(allMachines)
     , listener(listenOn(publicPort, this->boundPort))
     , acceptor([this] { this->accept(); })
@@ -841,8 +871,8 @@
     sockaddr_in peer {};
     socklen_t size = sizeof(peer);
     ::getpeername(client, reinterpret_cast<sockaddr*>(&peer), &size);
-    std::string source = this->machines.zoneOfClient(ntohs(peer.sin_port), this->boundPort);
-    auto isCut = [&] { return !source.empty() && this->machines.isCut(source, this->zone); };
+    LinkEnd source = this->machines.clientOf(ntohs(peer.sin_port), this->boundPort);
+    auto isCut = [&] { return this->machines.isCut(source, this->end); };
     if (isCut()) {
         from.resetAtClose();
         return;
@@ -888,7 +918,7 @@
         , record(caseRecord)
         , server(0, [this](const Message& request, Connection& connection) { return this->serve(request, connection); })
         , publicPort(freePort())
-        , link(this->publicPort, this->server.port(), this->zone, machines)
+        , link(this->publicPort, this->server.port(), {}, this->zone, machines)
         , beat([this] { this->sendHeartbeats(); })
     {
     }
