review: ports of runs at the same time lie apart

Adds a range of ports for each run of a case. Why: two of the cases could not run once when several ran together (an entry node did not become ready).

--- a/review/common-3/Lab.h
+++ b/review/common-3/Lab.h
@@ -92,14 +92,17 @@
     return fd;
 }
 
-// Returns ports that were free a moment ago, each once. They lie below those that the system picks for connections.
+// Returns ports that were free a moment ago, each once. They lie below those that the system picks for connections, and
+// in another range for most other runs at the same time.
 inline int freePort()
 {
     static std::mutex mutex;
     static std::mt19937 random { std::random_device {}() };
     static std::set<int> given;
-    constexpr int lowest = 12000;
-    constexpr int highest = 32000;
+    constexpr int rangePorts = 500;
+    constexpr int ranges = 40;
+    const int lowest = 12000 + ::getpid() % ranges * rangePorts;
+    const int highest = lowest + rangePorts - 1;
     std::lock_guard lock(mutex);
     for (;;) {
         int port = std::uniform_int_distribution<int>(lowest, highest)(random);
