--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,7 +11,10 @@
     -lPocoNet -lPocoJSON -lPocoFoundation -lpthread)
 for folder in review/[0-9]*/; do
     number=$(basename "$folder")
-    if ((number >= 6)) && [ -f "$folder/main.cpp" ]; then
+    ((number >= 6)) && [ -f "$folder/main.cpp" ] || continue
+    if grep -q common-3/Lab.h "$folder/main.cpp"; then # needs the standard library only
+        g++ -std=c++20 -O1 -g -pthread "$folder/main.cpp" -o "target/review-2/case-$number"
+    else
         g++ "${flags[@]}" "$folder/main.cpp" "${shared[@]}" -o "target/review-2/case-$number" "${libraries[@]}"
     fi
 done
--- a/review/common-3/Lab.h
+++ b/review/common-3/Lab.h
@@ -185,7 +185,6 @@
         ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
     }
     int descriptor() const { return this->fd; }
-    bool closedByPeer() const { return this->ended; }
 
     bool send(std::string_view bytes) const
     {
@@ -234,8 +233,7 @@
             return false;
         std::array<char, 16384> bytes {};
         ssize_t count = ::recv(this->fd, bytes.data(), bytes.size(), 0);
-        this->ended = count <= 0;
-        if (this->ended)
+        if (count <= 0)
             return false;
         this->buffer.append(bytes.data(), static_cast<std::size_t>(count));
         return true;
@@ -273,7 +271,6 @@
     }
 
     int fd;
-    bool ended = false; // the peer has closed or reset the connection
     std::string buffer;
 };
 
@@ -615,17 +612,10 @@
 
 class Machines;
 
-// One end of a link.
-struct LinkEnd {
-    std::string machine; // empty for a worker
-    std::string zone; // empty if unknown
-};
-
 // Carries the connections to one address of a machine.
 class LinkProxy {
 public:
-    // `machineName` is empty for a worker.
-    LinkProxy(int publicPort, int targetPort, std::string machineName, std::string zoneName, Machines& allMachines);
+    LinkProxy(int publicPort, int targetPort, std::string zoneName, Machines& allMachines);
     ~LinkProxy();
     LinkProxy(const LinkProxy&) = delete;
     LinkProxy& operator=(const LinkProxy&) = delete;
@@ -635,7 +625,7 @@
     void carry(int client);
 
     const int target;
-    const LinkEnd end;
+    const std::string zone;
     Machines& machines;
     int boundPort = 0;
     int listener;
@@ -697,8 +687,7 @@
         text << "{ \"mode\": \"" << (entry ? "entry" : "records") << "\", \"node\": \"" << machine.name
              << "\", \"dataCentre\": \"" << machine.zone << "\", \"peerAddress\": \"" << addressOf(ownPort)
              << "\", \"advertisedAddress\": \"" << addressOf(machine.peerPort) << "\", \"platformAddress\": \""
-             << addressOf(this->platformPort) << "\", \"seeds\": [" << this->seeds
-             << "], \"memoryMegabytes\": " << (entry ? 110 : 130);
+             << addressOf(this->platformPort) << "\", \"seeds\": [" << this->seeds << "], \"memoryMegabytes\": 130";
         if (entry)
             text << ", \"callerAddress\": \"" << addressOf(machine.callerPort) << "\", \"readyAddress\": \""
                  << addressOf(machine.readyPort) << "\", \"readyPath\": \"/api/readiness\"";
@@ -711,8 +700,7 @@
         std::ofstream(path) << text.str();
         std::lock_guard lock(this->mutex);
         this->proxies[machine.name].reset();
-        this->proxies[machine.name]
-            = std::make_unique<LinkProxy>(machine.peerPort, ownPort, machine.name, machine.zone, *this);
+        this->proxies[machine.name] = std::make_unique<LinkProxy>(machine.peerPort, ownPort, machine.zone, *this);
         machine.pid = ::fork();
         if (machine.pid == 0) {
             int log = ::open((machine.folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -730,8 +718,6 @@
         this->end(machine, SIGKILL);
     }
 
-    void signal(Machine& machine, int number) const { ::kill(machine.pid, number); }
-
     static void loseDisk(const Machine& machine)
     {
         std::filesystem::remove_all(machine.folder + "/data");
@@ -752,52 +738,25 @@
         this->cut.erase(zone);
     }
 
-    // Partitions a record node from the other record nodes; all others reach it.
-    void cutRecords(const std::string& name)
-    {
-        this->record.line("machine " + name + " is partitioned from the other record nodes");
-        std::lock_guard lock(this->cutMutex);
-        this->cutNode = name;
-    }
-
-    void healRecords(const std::string& name)
+    bool isCut(const std::string& one, const std::string& other) const
     {
-        this->record.line("machine " + name + " is reachable again");
         std::lock_guard lock(this->cutMutex);
-        this->cutNode.clear();
+        return one != other && (this->cut.count(one) > 0 || this->cut.count(other) > 0);
     }
 
-    bool isCut(const LinkEnd& one, const LinkEnd& other) const
-    {
-        std::lock_guard lock(this->cutMutex);
-        bool zonesKnown = !one.zone.empty() && !other.zone.empty();
-        if (zonesKnown && one.zone != other.zone && (this->cut.count(one.zone) > 0 || this->cut.count(other.zone) > 0))
-            return true;
-        auto isRecords = [](const LinkEnd& end) { return end.machine.rfind("records-", 0) == 0; };
-        return !this->cutNode.empty() && one.machine != other.machine && isRecords(one) && isRecords(other)
-            && (one.machine == this->cutNode || other.machine == this->cutNode);
-    }
-
-    // The machine whose process opened a connection.
-    LinkEnd clientOf(int clientPort, int proxyPort) const
+    // The zone of the process that opened a connection, or an empty text.
+    std::string zoneOfClient(int clientPort, int proxyPort) const
     {
         std::vector<pid_t> pids;
-        std::map<pid_t, LinkEnd> ends;
+        std::map<pid_t, std::string> zones;
         for (const auto& [name, machine] : this->all) {
             if (machine.pid > 0) {
                 pids.push_back(machine.pid);
-                ends[machine.pid] = { name, machine.zone };
+                zones[machine.pid] = machine.zone;
             }
         }
         pid_t owner = ownerOf(clientPort, proxyPort, pids);
-        return owner == 0 ? LinkEnd {} : ends[owner];
-    }
-
-    // Whether the process has ended by itself.
-    static bool ended(const Machine& machine)
-    {
-        int status = 0;
-        return machine.pid > 0 && ::waitpid(machine.pid, &status, WNOHANG) == machine.pid;
+        return owner == 0 ? std::string() : zones[owner];
     }
 
     int platformPort = 0;
@@ -831,16 +790,14 @@
     const std::string daemon;
     std::mutex mutex;
     mutable std::mutex cutMutex;
-    std::set<std::string> cut; // zones
-    std::string cutNode; // record node
+    std::set<std::string> cut;
     std::map<std::string, Machine> all; // complete before the first start
     std::map<std::string, std::unique_ptr<LinkProxy>> proxies;
 };
 
-inline LinkProxy::LinkProxy(
-    int publicPort, int targetPort, std::string machineName, std::string zoneName, Machines& allMachines)
+inline LinkProxy::LinkProxy(int publicPort, int targetPort, std::string zoneName, Machines& allMachines)
     : target(targetPort)
-    , end { std::move(machineName), std::move(zoneName) }
+    , zone(std::move(zoneName))
     , machines(allMachines)
     , listener(listenOn(publicPort, this->boundPort))
     , acceptor([this] { this->accept(); })
@@ -874,8 +831,8 @@
     sockaddr_in peer {};
     socklen_t size = sizeof(peer);
     ::getpeername(client, reinterpret_cast<sockaddr*>(&peer), &size);
-    LinkEnd source = this->machines.clientOf(ntohs(peer.sin_port), this->boundPort);
-    auto isCut = [&] { return this->machines.isCut(source, this->end); };
+    std::string source = this->machines.zoneOfClient(ntohs(peer.sin_port), this->boundPort);
+    auto isCut = [&] { return !source.empty() && this->machines.isCut(source, this->zone); };
     if (isCut()) {
         from.resetAtClose();
         return;
@@ -907,21 +864,14 @@
 // A model worker: answers each request with a signed stream of events. Each connection to it runs through a proxy.
 class Worker {
 public:
-    struct Run {
-        std::string request;
-        std::string body;
-    };
-
-    Worker(std::string workerId, std::string zoneName, Platform& objectStore, Machines& machines, Record& caseRecord,
-        std::string serviceName = "models")
+    Worker(std::string workerId, std::string zoneName, Platform& objectStore, Machines& machines, Record& caseRecord)
         : id(std::move(workerId))
         , zone(std::move(zoneName))
-        , service(std::move(serviceName))
         , platform(objectStore)
         , record(caseRecord)
         , server(0, [this](const Message& request, Connection& connection) { return this->serve(request, connection); })
         , publicPort(freePort())
-        , link(this->publicPort, this->server.port(), {}, this->zone, machines)
+        , link(this->publicPort, this->server.port(), this->zone, machines)
         , beat([this] { this->sendHeartbeats(); })
     {
     }
@@ -933,15 +883,7 @@
     Worker(const Worker&) = delete;
     Worker& operator=(const Worker&) = delete;
 
-    std::vector<Run> runs() const
-    {
-        std::lock_guard lock(this->mutex);
-        return this->allRuns;
-    }
-
     int eventsPerRun = 25;
-    std::atomic<bool> quiet { false }; // keeps no list of runs and writes no lines
-    std::atomic<int> workMillis { 0 }; // before the answer
 
 private:
     bool serve(const Message& request, Connection& connection)
@@ -952,15 +894,8 @@
             return connection.send(response(421, "{}", echo + "X-Lovagecross-Instance-Id: " + this->id + "\r\n"));
         if (request.target() == "/health")
             return connection.send(response(200, "{}", "X-Lovagecross-Instance-Id: " + this->id + "\r\n"));
-        if (!this->quiet) {
-            this->record.line("worker " + this->id + " runs " + request.header("X-Lovagecross-Request-Id") + ", body \""
-                + escaped(request.body) + '"');
-            std::lock_guard lock(this->mutex);
-            this->allRuns.push_back({ request.header("X-Lovagecross-Request-Id"), request.body });
-        }
-        std::this_thread::sleep_for(milliseconds(this->workMillis));
-        if (this->service != "models")
-            return connection.send(response(200, "{}", echo + "X-Lovagecross-Server-Signature: 3e1b.07.5a2\r\n"));
+        this->record.line("worker " + this->id + " runs " + request.header("X-Lovagecross-Request-Id") + ", body \""
+            + escaped(request.body) + '"');
         std::string bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + echo
             + "X-Lovagecross-Server-Signature: 3e1b.07.5a2\r\nTransfer-Encoding: chunked\r\n\r\n";
         for (int i = 1; i <= this->eventsPerRun; ++i) {
@@ -985,8 +920,7 @@
         auto born = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         for (int sequence = 1; !this->stopping; ++sequence) {
             this->platform.put("servers", this->id,
-                "{\"service\":\"" + this->service + "\",\"address\":\"" + addressOf(this->publicPort) + "\",\"zone\":\""
-                    + this->zone
+                "{\"service\":\"models\",\"address\":\"" + addressOf(this->publicPort) + "\",\"zone\":\"" + this->zone
                     + "\",\"version\":\"v1\",\"slots\":24,\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":"
                       "\"both\","
                       "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":"
@@ -998,11 +932,8 @@
 
     const std::string id;
     const std::string zone;
-    const std::string service;
     Platform& platform;
     Record& record;
-    mutable std::mutex mutex;
-    std::vector<Run> allRuns;
     std::atomic<bool> stopping { false };
     HttpServer server;
     const int publicPort;
@@ -1025,14 +956,13 @@
     int status = 0; // 0 if none came
     int events = 0;
     bool whole = false;
-    bool closed = false; // the node closed the channel before the answer was whole
 };
 
-// Sends one turn on an open connection. Writes no line without a record.
-inline TurnAnswer sendTurnOn(Connection& connection, const std::string& entryName, const Turn& turn, Record* record)
+// Sends one turn on a new connection, as a consumer does.
+inline TurnAnswer sendTurn(const Machine& entry, const Turn& turn, Record& record)
 {
     constexpr auto patience = milliseconds(4000);
-    constexpr auto watched = patience + milliseconds(1000); // to see what becomes of the channel
+    Connection connection(connectTo(entry.callerPort));
     std::ostringstream head;
     head << "POST /chat/4b HTTP/1.1\r\nHost: desk.example\r\nX-Lovagecross-Request-Id: " << turn.request
          << "\r\nX-Lovagecross-Program-Id: " << turn.program << "\r\nX-Lovagecross-Session-Id: " << turn.program
@@ -1044,51 +974,16 @@
     head << "Content-Length: " << turn.input.size() << "\r\n\r\n" << turn.input;
     TurnAnswer answer;
     Message message;
-    if (connection.open() && connection.send(head.str()) && connection.read(message, SteadyClock::now() + watched)) {
+    if (connection.open() && connection.send(head.str()) && connection.read(message, SteadyClock::now() + patience)) {
         answer.status = message.status();
         answer.whole = message.whole;
-        answer.closed = !message.whole && connection.closedByPeer();
         for (std::size_t at = 0; (at = message.body.find("\ndata:", at)) != std::string::npos; ++at)
             ++answer.events;
     }
-    if (record == nullptr)
-        return answer;
-    record->line("turn " + turn.request + " of " + turn.program
-        + (turn.previous.empty() ? "" : " after " + turn.previous) + " at " + entryName + ": "
+    record.line("turn " + turn.request + " of " + turn.program
+        + (turn.previous.empty() ? "" : " after " + turn.previous) + " at " + entry.name + ": "
         + std::to_string(answer.status) + ", events " + std::to_string(answer.events)
-        + (answer.whole         ? ", whole"
-                : answer.closed ? ", not whole, closed"
-                                : ", not whole")
-        + (answer.status / 100 == 2 ? "" : ", " + message.body));
-    return answer;
-}
-
-// Sends one turn on a new connection, as a consumer does.
-inline TurnAnswer sendTurn(const Machine& entry, const Turn& turn, Record* record)
-{
-    Connection connection(connectTo(entry.callerPort));
-    return sendTurnOn(connection, entry.name, turn, record);
-}
-
-// Sends one request that isn't idempotent on an open connection.
-inline TurnAnswer sendOrder(Connection& connection, const std::string& entryName, const std::string& id,
-    const std::string& body, Record& record)
-{
-    constexpr auto patience = milliseconds(3000);
-    std::string head = "POST /order/2f HTTP/1.1\r\nHost: desk.example\r\nX-Lovagecross-Request-Id: " + id
-        + "\r\nX-Lovagecross-Deadline-Ms: " + std::to_string(patience.count())
-        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    TurnAnswer answer;
-    Message message;
-    bool sent = connection.open() && connection.send(head) && connection.send(body);
-    if (connection.read(message, SteadyClock::now() + patience)) {
-        answer.status = message.status();
-        answer.whole = message.whole;
-    }
-    answer.closed = !answer.whole && connection.closedByPeer();
-    record.line("order " + id + " of " + std::to_string(body.size()) + " bytes at " + entryName + ": "
-        + (answer.status == 0 ? "no answer" : std::to_string(answer.status)) + (sent ? "" : ", not sent whole")
-        + (answer.closed ? ", closed" : ""));
+        + (answer.whole ? ", whole" : ", not whole") + (answer.status / 100 == 2 ? "" : ", " + message.body));
     return answer;
 }
 
@@ -1111,92 +1006,6 @@
     return true;
 }
 
-// --- Memory limits
-
-constexpr double bytesPerMegabyte = 1024.0 * 1024.0;
-constexpr auto restartDelay = milliseconds(500);
-constexpr auto memoryCheckInterval = milliseconds(2);
-
-// The memory that the process has written to, without what it has mapped of its own file.
-inline double usedMegabytes(pid_t pid)
-{
-    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.rfind("RssAnon:", 0) == 0)
-            return std::strtod(line.c_str() + 8, nullptr) * 1024 / bytesPerMegabyte;
-    }
-    return 0;
-}
-
-// The platform's part: ends processes over their memory limit, and starts again what has ended.
-class Supervisor {
-public:
-    Supervisor(Machines& allMachines, std::vector<std::string> watched, int limitMegabytes, Record& caseRecord)
-        : machines(allMachines)
-        , names(std::move(watched))
-        , limit(limitMegabytes)
-        , record(caseRecord)
-        , thread([this] { this->run(); })
-    {
-    }
-    ~Supervisor()
-    {
-        this->stopping = true;
-        this->thread.join();
-    }
-    Supervisor(const Supervisor&) = delete;
-    Supervisor& operator=(const Supervisor&) = delete;
-
-    int ends() const { return this->endCount; }
-    double peak() const { return this->peakMegabytes; }
-
-    std::mutex mutex; // held while machines are killed or started
-
-private:
-    void run()
-    {
-        while (!this->stopping) {
-            for (const std::string& name : this->names)
-                this->check(this->machines.get(name));
-            std::this_thread::sleep_for(memoryCheckInterval);
-        }
-    }
-
-    void check(Machine& machine)
-    {
-        std::lock_guard lock(this->mutex);
-        auto due = this->restartAt.find(machine.name);
-        if (due != this->restartAt.end()) {
-            if (SteadyClock::now() < due->second)
-                return;
-            this->restartAt.erase(due);
-            this->machines.start(machine, false);
-            return;
-        }
-        double used = machine.pid > 0 ? usedMegabytes(machine.pid) : 0;
-        this->peakMegabytes = std::max(this->peakMegabytes.load(), used);
-        bool over = used > this->limit;
-        if (!over && !(machine.pid > 0 && Machines::ended(machine)))
-            return;
-        ++this->endCount;
-        this->machines.kill(machine,
-            over ? ("it uses " + std::to_string(static_cast<int>(used)) + " MB, more than its memory_mb").c_str()
-                 : "it has ended by itself");
-        this->restartAt[machine.name] = SteadyClock::now() + restartDelay;
-    }
-
-    Machines& machines;
-    const std::vector<std::string> names;
-    const int limit;
-    Record& record;
-    std::map<std::string, SteadyClock::time_point> restartAt;
-    std::atomic<int> endCount { 0 };
-    std::atomic<double> peakMegabytes { 0 };
-    std::atomic<bool> stopping { false };
-    std::thread thread;
-};
-
 // --- A deployment like the small site: three zones with a record node, an entry node and a worker each
 
 constexpr int exitHeld = 0;
@@ -1222,11 +1031,7 @@
     return "{\"version\":7,\"routes\":[{\"name\":\"chat\",\"host\":\"desk.example\",\"path_prefix\":\"/chat/\","
            "\"kind\":\"streaming\",\"timeout_ms\":4000,\"target_latency_ms\":500,\"priority\":2,\"service\":\"models\","
            "\"max_attempts\":2,\"stateful\":true,\"retention_s\":60.0,\"sticky\":true,\"resumable\":false,"
-           "\"target_gap_ms\":200},{\"name\":\"order\",\"host\":\"desk.example\",\"path_prefix\":\"/order/\","
-           "\"kind\":\"unsafe\",\"timeout_ms\":3000,\"target_latency_ms\":400,\"priority\":2,\"service\":\"press\","
-           "\"max_attempts\":1,\"stateful\":false,\"retention_s\":60.0,\"sticky\":false,\"resumable\":false}],"
-           "\"services\":[{\"name\":\"press\",\"health_path\":\"/health\",\"max_connections\":110,"
-           "\"protocol\":\"h1\",\"tls\":false},{\"name\":\"models\",\"health_path\":\"/health\","
+           "\"target_gap_ms\":200}],\"services\":[{\"name\":\"models\",\"health_path\":\"/health\","
            "\"max_connections\":210,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":24,\"kv_tokens\":274490,"
            "\"kv_bytes\":192512,\"link_mbps\":1500000.0,\"moves\":true,\"backups\":true,\"tokens_per_event\":4,"
            "\"most\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}}],"
