--- a/review/common-3/Lab.h
+++ b/review/common-3/Lab.h
@@ -637,6 +637,7 @@
 struct Machine {
     std::string name;
     std::string zone;
+    std::string link; // the zone, or a name of its own for a machine that is cut off alone
     std::string folder;
     std::string settings; // as rendered
     int callerPort = 0;
@@ -669,9 +670,11 @@
         return machine;
     }
 
-    Machine& addRecords(const std::string& name, const std::string& zone)
+    // With a `link` of its own, the machine can be cut off alone.
+    Machine& addRecords(const std::string& name, const std::string& zone, const std::string& link = {})
     {
         Machine& machine = this->add(name, zone);
+        machine.link = link.empty() ? zone : link;
         std::filesystem::create_directories(machine.folder + "/data");
         return machine;
     }
@@ -700,7 +703,7 @@
         std::ofstream(path) << text.str();
         std::lock_guard lock(this->mutex);
         this->proxies[machine.name].reset();
-        this->proxies[machine.name] = std::make_unique<LinkProxy>(machine.peerPort, ownPort, machine.zone, *this);
+        this->proxies[machine.name] = std::make_unique<LinkProxy>(machine.peerPort, ownPort, machine.link, *this);
         machine.pid = ::fork();
         if (machine.pid == 0) {
             int log = ::open((machine.folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -724,16 +727,17 @@
         std::filesystem::create_directories(machine.folder + "/data");
     }
 
+    // `zone` may also be the link of one machine.
     void cutZone(const std::string& zone)
     {
-        this->record.line("zone " + zone + " is partitioned from the others");
+        this->record.line(zone + " is partitioned from all others");
         std::lock_guard lock(this->cutMutex);
         this->cut.insert(zone);
     }
 
     void healZone(const std::string& zone)
     {
-        this->record.line("zone " + zone + " is reachable again");
+        this->record.line(zone + " is reachable again");
         std::lock_guard lock(this->cutMutex);
         this->cut.erase(zone);
     }
@@ -744,7 +748,7 @@
         return one != other && (this->cut.count(one) > 0 || this->cut.count(other) > 0);
     }
 
-    // The zone of the process that opened a connection, or an empty text.
+    // The zone, or link, of the process that opened a connection, or an empty text.
     std::string zoneOfClient(int clientPort, int proxyPort) const
     {
         std::vector<pid_t> pids;
@@ -752,7 +756,7 @@
         for (const auto& [name, machine] : this->all) {
             if (machine.pid > 0) {
                 pids.push_back(machine.pid);
-                zones[machine.pid] = machine.zone;
+                zones[machine.pid] = machine.link;
             }
         }
         pid_t owner = ownerOf(clientPort, proxyPort, pids);
@@ -768,6 +772,7 @@
         Machine& machine = this->all[name];
         machine.name = name;
         machine.zone = zone;
+        machine.link = zone;
         machine.folder = this->folder + '/' + name;
         machine.peerPort = freePort();
         std::filesystem::create_directories(machine.folder);
