Gateway: connections that wait for their callers give way to new ones

Cause: the thread pool alone limited the connections. When it was full, the new connection was closed, whatever the others were doing.

Change: a listener keeps a table of its connections. When all are in use, the one that has waited longest for its caller is closed, never one that runs a request, and none before it has waited for 100 ms. A request whose connection was closed does not run.

--- a/lovagecross/gateway/CallerSession.cpp
+++ b/lovagecross/gateway/CallerSession.cpp
@@ -63,8 +63,10 @@
 
 } // namespace
 
-CallerSession::CallerSession(GatewayContext& shared, const Poco::Net::StreamSocket& socket, CallOrigin callOrigin)
+CallerSession::CallerSession(GatewayContext& shared, const Poco::Net::StreamSocket& socket,
+    TrackedConnection& trackedConnection, CallOrigin callOrigin)
     : parts(shared)
+    , connection(trackedConnection)
     , origin(callOrigin)
     , stream(socket)
     , openedAt(shared.clock.now())
@@ -107,7 +109,7 @@
     BufferReservation reservation(
         this->parts.memory, this->parts.clock, announced, [this] { this->stream.endInput(); });
     std::string body;
-    if (this->readBody(head, body, reservation) != ReadResult::Ok)
+    if (this->readBody(head, body, reservation) != ReadResult::Ok || !this->connection.runsRequest())
         return AfterCall::Close;
     BufferedBodyBytes bodyBytes(this->parts.counters.bodyBytes);
     bodyBytes.set(body.size());
@@ -186,8 +188,10 @@
 CallerSession::ReadResult CallerSession::readHead(RequestHead& head)
 {
     CallerLimits callerLimits = this->limits();
+    this->connection.waits();
     if (this->waitForRequest(callerLimits) != ReadResult::Ok)
         return ReadResult::Closed;
+    this->connection.readsRequest();
     TimePoint headBy = this->parts.clock.now() + callerLimits.headTimeout;
     std::size_t end = std::string::npos;
     while ((end = this->stream.buffered.find(headEnd)) == std::string::npos) {
@@ -245,6 +249,7 @@
             return this->refuseBody(408, "the body did not arrive in time", body, reservation);
         if (this->stream.receive() != IoStatus::Ok)
             return ReadResult::Closed;
+        this->connection.received(body.size() + this->stream.buffered.size());
     }
 }
 
@@ -308,6 +313,7 @@
 // bytes resets the connection, and the caller may lose the response.
 void CallerSession::lingeringClose()
 {
+    this->connection.waits();
     ::shutdown(this->stream.descriptor(), SHUT_WR);
     TimePoint until = this->parts.clock.now() + lingeringCloseTimeout;
     std::size_t discarded = 0;
--- a/lovagecross/gateway/CallerSession.h
+++ b/lovagecross/gateway/CallerSession.h
@@ -8,6 +8,7 @@
 #include "lovagecross/gateway/GatewayContext.h"
 #include "lovagecross/http/BodyDecoder.h"
 #include "lovagecross/http/ByteStream.h"
+#include "lovagecross/http/ConnectionTable.h"
 #include "lovagecross/http/MessageHead.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -20,8 +21,9 @@
 
 class CallerSession {
 public:
-    CallerSession(
-        GatewayContext& shared, const Poco::Net::StreamSocket& socket, CallOrigin callOrigin = CallOrigin::Caller);
+    // `trackedConnection` must outlive the session.
+    CallerSession(GatewayContext& shared, const Poco::Net::StreamSocket& socket, TrackedConnection& trackedConnection,
+        CallOrigin callOrigin);
 
     ~CallerSession();
     CallerSession(const CallerSession&) = delete;
@@ -60,6 +62,7 @@
     CallerLimits limits() const;
 
     GatewayContext& parts;
+    TrackedConnection& connection;
     const CallOrigin origin;
     ByteStream stream;
     const TimePoint openedAt;
--- a/lovagecross/gateway/Gateway.cpp
+++ b/lovagecross/gateway/Gateway.cpp
@@ -9,6 +9,7 @@
 #include <Poco/Timespan.h>
 #include <exception>
 #include <memory>
+#include <sys/socket.h>
 
 namespace lovagecross {
 
@@ -24,6 +25,8 @@
 const Poco::Timespan acceptTimeout(0, 200'000); // until the acceptor checks for a stop
 constexpr Duration acceptRetryInterval = std::chrono::milliseconds(20);
 constexpr Duration stopPollInterval = std::chrono::milliseconds(20);
+constexpr Duration minWaitToClose = std::chrono::milliseconds(100); // of a connection that is closed for another one
+constexpr Duration closeReportInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -51,6 +54,7 @@
     , otherEngine(counters.counter("gateway.placedElsewhere"))
     , bodyBytes(counters.counter("gateway.bodyBytes"))
     , outOfMemory(counters.counter("gateway.outOfMemory"))
+    , closedForOthers(counters.counter("gateway.connectionsClosed"))
     , timeToFirstSend(counters.histogram("gateway.toFirstSend"))
     , completionDelay(counters.histogram("gateway.atEnd"))
     , tokenReservation(counters.histogram("gateway.reserve"))
@@ -94,10 +98,10 @@
         : socket(connected)
         , gateway(owner)
         , parts(shared)
+        , connection(owner.table, [fd = connected.impl()->sockfd()] { ::shutdown(fd, SHUT_RDWR); })
     {
-        ++this->gateway.openConnections;
     }
-    ~CallerTask() override { --this->gateway.openConnections; }
+    ~CallerTask() override = default;
     CallerTask(const CallerTask&) = delete;
     CallerTask& operator=(const CallerTask&) = delete;
 
@@ -105,7 +109,7 @@
     {
         std::unique_ptr<CallerTask> self(this);
         try {
-            CallerSession session(this->parts, this->socket, this->gateway.settings.origin);
+            CallerSession session(this->parts, this->socket, this->connection, this->gateway.settings.origin);
             SessionRegistration guard(this->gateway, session);
             session.run();
         } catch (const std::exception& error) {
@@ -114,15 +118,17 @@
     }
 
 private:
-    Poco::Net::StreamSocket socket;
+    Poco::Net::StreamSocket socket; // open until `connection` is gone
     Gateway& gateway;
     GatewayContext& parts;
+    TrackedConnection connection;
 };
 
 Gateway::Gateway(GatewaySettings gatewaySettings, GatewayContext& shared)
     : settings(std::move(gatewaySettings))
     , parts(shared)
     , threads("callers", minThreads, this->settings.maxConnections + minThreads, threadIdleSeconds, stackBytes)
+    , table(shared.clock, static_cast<std::size_t>(this->settings.maxConnections), minWaitToClose)
 {
 }
 
@@ -147,10 +153,16 @@
     for (;;) {
         bool lastRound = this->stopping;
         try {
-            if (this->listener.poll(lastRound ? Poco::Timespan(0) : acceptTimeout, Poco::Net::Socket::SELECT_READ))
-                this->serve(this->listener.acceptConnection());
-            else if (lastRound)
+            if (this->listener.poll(lastRound ? Poco::Timespan(0) : acceptTimeout, Poco::Net::Socket::SELECT_READ)) {
+                bool hasRoom = this->table.makeRoom();
+                Poco::Net::StreamSocket socket = this->listener.acceptConnection();
+                if (hasRoom)
+                    this->serve(socket);
+                else
+                    this->refuse();
+            } else if (lastRound)
                 break;
+            this->reportClosedConnections();
         } catch (const std::exception& error) { // out of file descriptors, or the caller has already left
             LogLine(LogLevel::Warning, "accept_failed").field("error", error.what()).write();
             if (lastRound)
@@ -168,11 +180,32 @@
         this->threads.start(*task);
         [[maybe_unused]] CallerTask* running = task.release(); // deletes itself
     } catch (const Poco::NoThreadAvailableException&) {
-        // The connection is closed unread, so that the caller may repeat any request on another node.
-        LogLine(LogLevel::Warning, "connection_limit").field("connections", this->connections()).write();
+        this->refuse();
     }
 }
 
+// The new connection is closed unread, so that the caller may repeat any request on another node.
+void Gateway::refuse()
+{
+    LogLine(LogLevel::Warning, "connection_limit").field("connections", this->connections()).write();
+}
+
+// Logs at most one line in `closeReportInterval`, since a crowd may connect again at once.
+void Gateway::reportClosedConnections()
+{
+    TimePoint now = this->parts.clock.now();
+    std::uint64_t closed = this->table.closedForOthers();
+    if (closed == this->closedForOthers || now < this->nextReport)
+        return;
+    LogLine(LogLevel::Info, "connections_closed_for_others")
+        .field("closed", closed - this->closedForOthers)
+        .field("connections", this->connections())
+        .write();
+    this->parts.counters.closedForOthers.add(closed - this->closedForOthers);
+    this->closedForOthers = closed;
+    this->nextReport = now + closeReportInterval;
+}
+
 void Gateway::drain()
 {
     this->parts.draining = true;
--- a/lovagecross/gateway/Gateway.h
+++ b/lovagecross/gateway/Gateway.h
@@ -10,6 +10,7 @@
 // Thread safety: every member may be called from any thread; `start` and `stop` once each.
 
 #include "lovagecross/gateway/GatewayContext.h"
+#include "lovagecross/http/ConnectionTable.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -48,7 +49,7 @@
     void stop(Duration timeout);
 
     // Number of open connections, accepted ones that wait for their thread included.
-    std::size_t connections() const { return this->openConnections; }
+    std::size_t connections() const { return this->table.size(); }
 
 private:
     friend class SessionRegistration;
@@ -56,6 +57,8 @@
 
     void acceptConnections();
     void serve(const Poco::Net::StreamSocket& socket);
+    void refuse();
+    void reportClosedConnections();
     void closeIdleConnections();
 
     const GatewaySettings settings;
@@ -64,7 +67,9 @@
     Poco::Net::ServerSocket listener;
     std::thread acceptor;
     std::atomic<bool> stopping { false };
-    std::atomic<std::size_t> openConnections { 0 };
+    ConnectionTable table;
+    std::uint64_t closedForOthers = 0; // connections, as counted last; used by the acceptor only, as is the next
+    TimePoint nextReport;
     mutable std::mutex mutex;
     std::set<CallerSession*> sessions;
 };
--- a/lovagecross/gateway/GatewayContext.h
+++ b/lovagecross/gateway/GatewayContext.h
@@ -91,6 +91,7 @@
     Counter& otherEngine; // attempts of a program's calls that were placed elsewhere
     Counter& bodyBytes; // of request bodies that are buffered now
     Counter& outOfMemory; // requests refused, or answers given up, because the memory for them is used up
+    Counter& closedForOthers; // connections without a running request that were closed for new ones
     LatencyHistogram& timeToFirstSend; // from the received request head to the first send to a backend server
     LatencyHistogram& completionDelay; // from the last received event to the end of the response
     LatencyHistogram& tokenReservation;
--- a/lovagecross/gateway/GatewayTest.cpp
+++ b/lovagecross/gateway/GatewayTest.cpp
@@ -349,7 +349,9 @@
         });
         Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
         CallerSocket caller(listener.address().toString());
-        CallerSession session(*this->parts, listener.acceptConnection());
+        ConnectionTable connections(this->parts->clock, 1, Duration(0));
+        TrackedConnection connection(connections, [] {});
+        CallerSession session(*this->parts, listener.acceptConnection(), connection, CallOrigin::Caller);
         caller.write(post("/unsafe/", "r1", "x"));
         std::this_thread::sleep_for(milliseconds(50)); // the request has arrived but has not been read
         session.closeIfIdle();
@@ -371,7 +373,9 @@
         for (const char* path : { "/safe/", "/unsafe/", "/turn/" }) {
             Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
             CallerSocket caller(listener.address().toString());
-            CallerSession session(*this->parts, listener.acceptConnection());
+            ConnectionTable connections(this->parts->clock, 1, Duration(0));
+            TrackedConnection connection(connections, [] {});
+            CallerSession session(*this->parts, listener.acceptConnection(), connection, CallOrigin::Caller);
             caller.write(post(path, "r1", "x"));
             caller.close();
             session.run();
