Listeners for checks, metrics, operators and programs: waiting connections give way

Callers that stopped within a head held the four threads of the listeners for readiness checks and metrics, and the sixteen for operators, for up to 30 s each: a node whose checks get no answer is taken out of rotation. At a node that owns programs they held all connections and the queue behind them.

Cause: POCO's dispatcher gives each connection a thread and closes new ones when the queue is full; a read timeout of 30 s starts anew with each byte.

Change: these listeners use the table of connections too, from a filter that runs before a connection is queued. Checks and metrics have 32 connections in place of 4.

--- a/lovagecross/daemon/HttpServer.cpp
+++ b/lovagecross/daemon/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "lovagecross/daemon/HttpServer.h"
 
 #include "lovagecross/adapters/Log.h"
+#include "lovagecross/http/ConnectionTable.h"
 #include "lovagecross/http/MessageHead.h"
 #include "lovagecross/runtime/Json.h"
 #include "lovagecross/runtime/ProgramService.h"
@@ -18,6 +19,8 @@
 #include <array>
 #include <atomic>
 #include <istream>
+#include <map>
+#include <mutex>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -25,8 +28,59 @@
 
 namespace lovagecross {
 
+namespace detail {
+
+// The connections of a listener, from the moment when they are accepted: they may wait for a thread.
+class ListenerConnections {
+public:
+    ListenerConnections(std::size_t maxConnections, Duration minWaitToClose)
+        : table(this->clock, maxConnections, minWaitToClose)
+    {
+    }
+
+    bool makeRoom() { return this->table.makeRoom(); }
+
+    void add(const Poco::Net::StreamSocket& socket)
+    {
+        auto tracked = std::make_shared<TrackedConnection>(
+            this->table, [fd = socket.impl()->sockfd()] { ::shutdown(fd, SHUT_RDWR); });
+        std::lock_guard lock(this->mutex);
+        this->waiting[socket.impl()] = { socket, std::move(tracked) };
+    }
+
+    // Returns the connection of a socket for the thread that serves it.
+    std::shared_ptr<TrackedConnection> take(const Poco::Net::StreamSocket& socket)
+    {
+        std::lock_guard lock(this->mutex);
+        auto found = this->waiting.extract(socket.impl());
+        return found.empty() ? nullptr : std::move(found.mapped().tracked);
+    }
+
+    // Closes the connections that no thread serves yet.
+    void closeWaiting()
+    {
+        std::lock_guard lock(this->mutex);
+        this->waiting.clear();
+    }
+
+private:
+    struct Waiting {
+        Poco::Net::StreamSocket socket; // open while the connection is tracked
+        std::shared_ptr<TrackedConnection> tracked;
+    };
+
+    SystemClock clock;
+    ConnectionTable table;
+    std::mutex mutex;
+    std::map<const Poco::Net::SocketImpl*, Waiting> waiting;
+};
+
+} // namespace detail
+
 namespace {
 
+using detail::ListenerConnections;
+
 // A handler uses a few kilobytes of stack. A small stack keeps the memory cost of many waiting callers low.
 constexpr int stackBytes = 256 * 1024;
 constexpr std::size_t maxDiscardedBytes = 4 * 1024 * 1024;
@@ -35,8 +89,31 @@
 constexpr int keepAliveSeconds = 15;
 constexpr int requestTimeoutSeconds = 30; // socket timeout; drops a caller that stalls while sending its request
 
+constexpr int listenBacklog = 1024;
+
 constexpr std::string_view responseVersion = "HTTP/1.1";
 
+// The connection that this thread serves; nullptr on other threads.
+thread_local TrackedConnection* servedConnection = nullptr;
+
+// Notes that the body being read has `bytes` bytes so far.
+void noteReceived(std::size_t bytes)
+{
+    if (servedConnection != nullptr)
+        servedConnection->received(bytes);
+}
+
+// Notes that the request is complete. Returns false if its connection was closed for another one.
+bool noteComplete()
+{
+    return servedConnection == nullptr || servedConnection->runsRequest();
+}
+
+bool hasBody(const Poco::Net::HTTPServerRequest& request)
+{
+    return request.getChunkedTransferEncoding() || (request.hasContentLength() && request.getContentLength64() > 0);
+}
+
 Poco::Net::StreamSocket& socketOf(Poco::Net::HTTPServerRequest& request)
 {
     return dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
@@ -78,6 +155,8 @@
 
     void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
     {
+        if (!hasBody(request) && !noteComplete())
+            return;
         ++*this->activeRequests;
         response.setVersion(std::string(responseVersion));
         // POCO treats a malformed chunk as the end of the body. Closing the connection keeps the bytes that follow from
@@ -92,6 +171,8 @@
                     response, errorAnswer({ ErrorCode::Internal, error.what(), {}, RunState::Unknown, Duration(0) }));
         }
         --*this->activeRequests;
+        if (servedConnection != nullptr)
+            servedConnection->waits();
     }
 
 private:
@@ -124,13 +205,19 @@
 
 class GuardedConnection final : public Poco::Net::HTTPServerConnection {
 public:
-    using Poco::Net::HTTPServerConnection::HTTPServerConnection;
+    GuardedConnection(const Poco::Net::StreamSocket& connected, const Poco::Net::HTTPServerParams::Ptr& serverParams,
+        const Poco::SharedPtr<FunctionHandlerFactory>& handlers, std::shared_ptr<TrackedConnection> connection)
+        : Poco::Net::HTTPServerConnection(connected, serverParams, handlers)
+        , tracked(std::move(connection))
+    {
+    }
 
     // On a malformed Content-Length, POCO throws before it creates a handler, after closing the socket without sending
     // a response. A duplicate of the socket's descriptor lets this method still send 400.
     void run() override
     {
         int descriptor = ::dup(this->socket().impl()->sockfd());
+        servedConnection = this->tracked.get();
         try {
             Poco::Net::HTTPServerConnection::run();
         } catch (const Poco::DataException&) {
@@ -141,27 +228,55 @@
         } catch (const std::exception& error) {
             LogLine(LogLevel::Info, "caller_connection").field("error", error.what()).write();
         }
+        servedConnection = nullptr;
         if (descriptor >= 0)
             ::close(descriptor);
+        this->tracked.reset(); // before the socket is closed
+    }
+
+private:
+    std::shared_ptr<TrackedConnection> tracked;
+};
+
+// Makes room for each new connection.
+class ConnectionFilter final : public Poco::Net::TCPServerConnectionFilter {
+public:
+    explicit ConnectionFilter(std::shared_ptr<ListenerConnections> shared)
+        : connections(std::move(shared))
+    {
     }
+
+    bool accept(const Poco::Net::StreamSocket& socket) override
+    {
+        if (!this->connections->makeRoom())
+            return false;
+        this->connections->add(socket);
+        return true;
+    }
+
+private:
+    std::shared_ptr<ListenerConnections> connections;
 };
 
 class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory {
 public:
-    ConnectionFactory(Poco::Net::HTTPServerParams::Ptr serverParams, Poco::SharedPtr<FunctionHandlerFactory> handlers)
+    ConnectionFactory(Poco::Net::HTTPServerParams::Ptr serverParams, Poco::SharedPtr<FunctionHandlerFactory> handlers,
+        std::shared_ptr<ListenerConnections> shared)
         : params(std::move(serverParams))
         , handlerFactory(std::move(handlers))
+        , connections(std::move(shared))
     {
     }
 
     Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override
     {
-        return new GuardedConnection(socket, this->params, this->handlerFactory);
+        return new GuardedConnection(socket, this->params, this->handlerFactory, this->connections->take(socket));
     }
 
 private:
     Poco::Net::HTTPServerParams::Ptr params;
     Poco::SharedPtr<FunctionHandlerFactory> handlerFactory;
+    std::shared_ptr<ListenerConnections> connections;
 };
 
 } // namespace
@@ -186,13 +301,14 @@
     std::istream& stream = request.stream();
     while (stream.read(buffer.data(), buffer.size()) || stream.gcount() > 0) {
         std::size_t size = body.size() + static_cast<std::size_t>(stream.gcount());
+        noteReceived(size);
         if (reservation != nullptr && !reservation->grow(body, size, limit))
             return fail(outOfMemory);
         body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
         if (body.size() > maxBytes)
             return fail(ErrorCode::TooLarge, "body", tooLarge);
     }
-    if (reservation != nullptr && !reservation->complete())
+    if ((reservation != nullptr && !reservation->complete()) || !noteComplete())
         return fail(outOfMemory);
     if (announced && static_cast<std::int64_t>(body.size()) < request.getContentLength64())
         return fail(ErrorCode::BadRequest, "body", "is shorter than Content-Length");
@@ -230,18 +346,20 @@
     return header.compare(0, prefix.size(), prefix) == 0 ? header.substr(prefix.size()) : std::string();
 }
 
-HttpListener::HttpListener(const std::string& address, int maxConnections, HttpHandler handler, int idleThreads)
-    : threads(idleThreads, maxConnections, 60, stackBytes)
+HttpListener::HttpListener(const HttpListenerSettings& settings, HttpHandler handler)
+    : threads(settings.idleThreads, settings.maxConnections, 60, stackBytes)
+    , connections(std::make_shared<ListenerConnections>(
+          static_cast<std::size_t>(settings.maxConnections), settings.minWaitToClose))
     , activeRequests(std::make_shared<std::atomic<int>>(0))
 {
     Poco::Net::ServerSocket socket;
-    socket.bind(
-        Poco::Net::SocketAddress(address), true, false); // no SO_REUSEPORT: two processes must not share an address
+    socket.bind(Poco::Net::SocketAddress(settings.address), true,
+        false); // no SO_REUSEPORT: two processes must not share an address
     socket.setReceiveBufferSize(receiveBufferBytes); // accepted sockets inherit it
-    socket.listen(256);
+    socket.listen(listenBacklog);
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-    params->setMaxThreads(maxConnections);
-    params->setMaxQueued(maxConnections);
+    params->setMaxThreads(settings.maxConnections);
+    params->setMaxQueued(settings.maxConnections);
     params->setKeepAlive(true);
     params->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
     params->setTimeout(Poco::Timespan(requestTimeoutSeconds, 0));
@@ -249,7 +367,8 @@
         new FunctionHandlerFactory(std::move(handler), this->activeRequests));
     this->stopConnections = [handlers]() mutable { handlers->stopConnections(true); };
     this->server = std::make_unique<Poco::Net::TCPServer>(
-        new ConnectionFactory(params, handlers), this->threads, socket, params);
+        new ConnectionFactory(params, handlers, this->connections), this->threads, socket, params);
+    this->server->setConnectionFilter(new ConnectionFilter(this->connections));
 }
 
 HttpListener::~HttpListener()
@@ -267,6 +386,7 @@
     if (std::exchange(this->stopped, true))
         return;
     this->server->stop();
+    this->connections->closeWaiting();
     auto end = std::chrono::steady_clock::now() + timeout;
     while (*this->activeRequests > 0 && std::chrono::steady_clock::now() < end)
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
--- a/lovagecross/daemon/HttpServer.h
+++ b/lovagecross/daemon/HttpServer.h
@@ -42,11 +42,24 @@
 // Returns the token of `Authorization: Bearer <token>`, or an empty string if there is none.
 std::string bearerToken(const Poco::Net::HTTPServerRequest& request);
 
+namespace detail {
+
+class ListenerConnections;
+
+} // namespace detail
+
+struct HttpListenerSettings {
+    std::string address; // IP:port
+    int maxConnections = 512; // each has a thread
+    int idleThreads = 4; // that are kept while there are no connections
+    // When all connections are in use, one that has waited for its caller for this time is closed for a new one.
+    Duration minWaitToClose = std::chrono::milliseconds(100);
+};
+
 class HttpListener {
 public:
-    // `address` is IP:port. `idleThreads` is the number of threads that are kept while there are no connections. Throws
-    // Poco::Exception if the address can't be bound.
-    HttpListener(const std::string& address, int maxConnections, HttpHandler handler, int idleThreads = 4);
+    // Throws Poco::Exception if the address can't be bound.
+    HttpListener(const HttpListenerSettings& settings, HttpHandler handler);
     ~HttpListener();
     HttpListener(const HttpListener&) = delete;
     HttpListener& operator=(const HttpListener&) = delete;
@@ -59,6 +72,7 @@
 
 private:
     Poco::ThreadPool threads;
+    std::shared_ptr<detail::ListenerConnections> connections;
     std::unique_ptr<Poco::Net::TCPServer> server;
     std::function<void()> stopConnections;
     std::shared_ptr<std::atomic<int>> activeRequests;
--- a/lovagecross/daemon/HttpServerTest.cpp
+++ b/lovagecross/daemon/HttpServerTest.cpp
@@ -40,16 +40,17 @@
     void setUp() override
     {
         this->address = testing::freeAddress();
-        this->listener = std::make_unique<HttpListener>(this->address, 8, [this](auto& request, auto& response) {
-            ++this->handled;
-            handle(
-                [&]() -> Result<void> {
-                    BOOST_LEAF_AUTO(body, readBody(request, maxTestBody));
-                    sendJson(response, 200, "{\"bytes\":" + std::to_string(body.size()) + "}");
-                    return {};
-                },
-                [&](const Error& error) { sendJson(response, 400, "{\"field\":\"" + error.field + "\"}"); });
-        });
+        this->listener = std::make_unique<HttpListener>(
+            HttpListenerSettings { this->address, 8 }, [this](auto& request, auto& response) {
+                ++this->handled;
+                handle(
+                    [&]() -> Result<void> {
+                        BOOST_LEAF_AUTO(body, readBody(request, maxTestBody));
+                        sendJson(response, 200, "{\"bytes\":" + std::to_string(body.size()) + "}");
+                        return {};
+                    },
+                    [&](const Error& error) { sendJson(response, 400, "{\"field\":\"" + error.field + "\"}"); });
+            });
         this->listener->start();
     }
 
--- a/lovagecross/daemon/LovagecrossdMain.cpp
+++ b/lovagecross/daemon/LovagecrossdMain.cpp
@@ -35,6 +35,7 @@
 constexpr int exitBadSettings = 2;
 constexpr int exitStartFailed = 3;
 constexpr std::size_t maxSettingsBytes = 1024 * 1024;
+constexpr int maxAdminConnections = 16;
 constexpr std::size_t maxServiceAnswerBytes = 900 * 1024; // an answer must fit into one object on the platform
 
 std::optional<std::string> readFile(const std::string& path)
@@ -122,10 +123,10 @@
             drainThread = std::thread([&node] { node.drain(); });
     };
     AdminApi admin(node, counters, store, adminToken, startDrain);
-    HttpListener callerListener(settings.callerAddress, static_cast<int>(settings.maxConnections),
+    HttpListener callerListener({ settings.callerAddress, static_cast<int>(settings.maxConnections) },
         [&](auto& request, auto& response) { callers.handle(request, response); });
-    HttpListener adminListener(
-        settings.adminAddress, 16, [&](auto& request, auto& response) { admin.handle(request, response); });
+    HttpListener adminListener({ settings.adminAddress, maxAdminConnections },
+        [&](auto& request, auto& response) { admin.handle(request, response); });
     // Bind the peer address before the node claims a shard, so that a second process with the same address fails to
     // start.
     if (std::string problem = peers.start(node); !problem.empty()) {
--- a/lovagecross/daemon/PlatformListeners.cpp
+++ b/lovagecross/daemon/PlatformListeners.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-constexpr int listenerThreads = 4;
-constexpr int listenerIdleThreads = 1;
+constexpr int maxConnections = 32;
+constexpr int idleThreads = 1;
+// Their callers send a request of one packet as soon as they have connected.
+constexpr Duration minWaitToClose = std::chrono::milliseconds(20);
 constexpr Duration stopTimeout = std::chrono::milliseconds(100);
 
 std::string formatCounters(const Counters& counters)
@@ -32,8 +34,7 @@
 
 ReadyListener::ReadyListener(const std::string& address, const Counters& counters, std::string readyPath,
     std::function<std::string()> notReadyReason)
-    : listener(
-        address, listenerThreads,
+    : listener({ address, maxConnections, idleThreads, minWaitToClose },
         [&counters, path = std::move(readyPath), reason = std::move(notReadyReason)](auto& request, auto& response) {
             if (request.getURI() == path) {
                 std::string why = reason();
@@ -43,8 +44,7 @@
             } else {
                 sendText(response, 404, "unknown path\n");
             }
-        },
-        listenerIdleThreads)
+        })
 {
     this->listener.start();
 }
@@ -55,8 +55,7 @@
 }
 
 MetricsListener::MetricsListener(const std::string& address, const Counters& counters, const QuarantineApi& quarantine)
-    : listener(
-        address, listenerThreads,
+    : listener({ address, maxConnections, idleThreads, minWaitToClose },
         [&counters, &quarantine](auto& request, auto& response) {
             if (request.getURI() == "/metrics")
                 sendText(response, 200, formatCounters(counters));
@@ -64,8 +63,7 @@
                 sendText(response, answer->status, answer->body, "application/json");
             else
                 sendText(response, 404, "unknown path\n");
-        },
-        listenerIdleThreads)
+        })
 {
     this->listener.start();
 }
