Peers: requests whose answers are not awaited leave the table once they end

Cause: a round of votes ends with the answers of a majority. The request to the third replica stays in flight for two seconds, to be sent and to reach it, but it stayed there after its answer had come too, with the answer's bytes. From 4,096 on, the node rejects its own requests and takes the record nodes for unreachable.

Change: such a request is forgotten when it ends.

--- a/lovagecross/adapters/PendingAnswer.cpp
+++ b/lovagecross/adapters/PendingAnswer.cpp
@@ -145,6 +145,19 @@
     return this->done;
 }
 
+bool PendingAnswer::abandon()
+{
+    std::lock_guard lock(this->mutex);
+    this->abandoned = true;
+    return this->done;
+}
+
+bool PendingAnswer::endedUnawaited()
+{
+    std::lock_guard lock(this->mutex);
+    return this->abandoned && this->done;
+}
+
 PeerStatus PendingAnswer::status()
 {
     std::lock_guard lock(this->mutex);
--- a/lovagecross/adapters/PendingAnswer.h
+++ b/lovagecross/adapters/PendingAnswer.h
@@ -69,6 +69,11 @@
 
     bool isDone();
 
+    // Nobody waits for the answer any more. Returns whether the request has ended already; otherwise `endedUnawaited`
+    // is true once it has.
+    bool abandon();
+    bool endedUnawaited();
+
     // Passes received chunks to the sink until the request ends, nothing arrives from the peer for `silence`, or the
     // sink cancels. If the timeout expires before the request was sent, it ends with Rejected.
     void wait(Duration silence, const ChunkSink& sink);
@@ -101,6 +106,7 @@
     std::condition_variable changed;
     bool sent = false;
     bool done = false;
+    bool abandoned = false;
     PeerStatus finalStatus = PeerStatus::NoAnswer;
     std::string answer;
     std::size_t answerBytes = 0; // counted in `answerBudget`
--- a/lovagecross/adapters/ZmqPeerRequests.cpp
+++ b/lovagecross/adapters/ZmqPeerRequests.cpp
@@ -118,7 +118,7 @@
         if (arrived[i] == nullptr)
             results[i].status = PeerStatus::NoAnswer;
     }
-    this->detachUnanswered(ids, arrived);
+    this->detachUnanswered(ids, waiting, arrived);
     return results;
 }
 
@@ -154,12 +154,13 @@
     return waiting;
 }
 
-void ZmqPeers::Impl::detachUnanswered(const std::vector<RequestId>& ids, const std::vector<const PeerResult*>& arrived)
+void ZmqPeers::Impl::detachUnanswered(const std::vector<RequestId>& ids,
+    const std::vector<std::shared_ptr<PendingAnswer>>& waiting, const std::vector<const PeerResult*>& arrived)
 {
     auto until = SteadyClock::now() + detachedRequestLifetime;
     std::lock_guard lock(this->mutex);
     for (std::size_t i = 0; i < ids.size(); ++i) {
-        if (arrived[i] == nullptr)
+        if (arrived[i] == nullptr && !waiting[i]->abandon())
             this->detachedRequests.emplace_back(until, ids[i].number);
         else
             this->pending.erase(ids[i].number);
@@ -384,6 +385,10 @@
         this->malformed.add();
         break;
     }
+    if (waiting->endedUnawaited()) { // its answer would count as in flight, with its bytes
+        std::lock_guard lock(this->mutex);
+        this->pending.erase(envelope.id.number);
+    }
 }
 
 void ZmqPeers::Impl::dropExpired(Connection& connection, SteadyClock::time_point now)
--- a/lovagecross/adapters/ZmqPeersImpl.h
+++ b/lovagecross/adapters/ZmqPeersImpl.h
@@ -160,7 +160,8 @@
 
     // Called when `requestAll` returns. Requests without an answer stay open for a while, so that they are still sent
     // and answered: their peer may hold a copy that is needed later.
-    void detachUnanswered(const std::vector<RequestId>& ids, const std::vector<const PeerResult*>& arrived);
+    void detachUnanswered(const std::vector<RequestId>& ids, const std::vector<std::shared_ptr<PendingAnswer>>& waiting,
+        const std::vector<const PeerResult*>& arrived);
 
     void dropExpiredDetached(SteadyClock::time_point now);
 
