Placement: what a node remembers of prompts is bounded in bytes

Turns with 1,200 prompt parts each, which no other turn has, took an entry node of 88 MB to 86 MB (records.crowd.distinctPrompts, 1,000 turns by 12 callers, bound 70 MB), within the limits on heads.

Cause: a server's statistics keep the parts that were sent to it, by the caller's name of the part. Over 2,000 parts, only those older than 5 s were removed, however many had come since.

Change: parts are kept by a hash of their name, and over 2,000 the older half goes whatever its age.

--- a/lovagecross/gateway/ServerStatistics.cpp
+++ b/lovagecross/gateway/ServerStatistics.cpp
@@ -1,5 +1,7 @@
 #include "lovagecross/gateway/ServerStatistics.h"
 
+#include "lovagecross/base/Hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -8,6 +10,8 @@
 
 namespace {
 
+using CachedParts = std::unordered_map<std::uint64_t, TimePoint>;
+
 using std::chrono::milliseconds;
 
 constexpr Duration fullServerBackoff = milliseconds(30); // time before a full server is tried again
@@ -22,6 +26,19 @@
 constexpr double millisPerSecond = 1000;
 constexpr double normalLatencySpread = 1.6; // ratio between equal servers that call sizes alone explain
 
+// Removes the parts that have not been sent for some time, at least a half of all.
+void removeOldParts(CachedParts& parts, TimePoint now)
+{
+    std::vector<TimePoint> times;
+    times.reserve(parts.size());
+    for (const auto& [part, sentAt] : parts)
+        times.push_back(sentAt);
+    auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    TimePoint keptSince = std::max(now - promptPartLifetime / 4, *middle);
+    std::erase_if(parts, [keptSince](const auto& part) { return part.second <= keptSince; });
+}
+
 std::uint64_t nextRandom(std::uint64_t& state)
 {
     state ^= state << 13U;
@@ -239,7 +256,7 @@
         load.slowness = 1 + (ratio - 1) * std::exp2(-age / slownessHalfLifeSeconds);
     }
     for (const PromptPart& part : prompt) {
-        auto found = stats.cachedParts.find(part.id);
+        auto found = stats.cachedParts.find(stableHash(part.id));
         if (found == stats.cachedParts.end() || now - found->second > promptPartLifetime)
             break; // a cached part can be reused only if all parts before it are cached
         load.cachedTokens += part.tokens;
@@ -261,10 +278,9 @@
 void ServerStatistics::recordPrompt(ServerStats& stats, const std::vector<PromptPart>& prompt, TimePoint now) const
 {
     if (stats.cachedParts.size() > maxPromptPartsPerServer)
-        std::erase_if(
-            stats.cachedParts, [now](const auto& part) { return now - part.second > promptPartLifetime / 4; });
+        removeOldParts(stats.cachedParts, now);
     for (const PromptPart& part : prompt)
-        stats.cachedParts[part.id] = now;
+        stats.cachedParts[stableHash(part.id)] = now;
 }
 
 } // namespace lovagecross
--- a/lovagecross/gateway/ServerStatistics.h
+++ b/lovagecross/gateway/ServerStatistics.h
@@ -29,6 +29,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lovagecross {
@@ -92,7 +93,8 @@
         double meanMillis = 0;
         TimePoint sampledAt;
         TimePoint endedAt; // of the last answered call
-        std::map<std::string, TimePoint> cachedParts; // prompt part id to the time when it was last sent
+        std::unordered_map<std::uint64_t, TimePoint>
+            cachedParts; // when it was last sent, by hash of a prompt part's id
     };
 
     // Aggregated over all servers of a service.
