Nodes that own programs: the parsed form of a body is counted

400 complete bodies of 768 KB with many small values took a node of 512 MB to 3,296 MB (memory.programs.parsedBodies, bound 256 MB).

Cause: the account of memory counted the bytes of a body, not the tree that is made of it, which takes some 350 bytes for each value.

Change: after a body has been read, its tree is reserved by the number of values in it, until the call ends; without room the caller gets 429 and nothing has run. A single body inside the limits is served.

--- a/lovagecross/daemon/CallerApi.cpp
+++ b/lovagecross/daemon/CallerApi.cpp
@@ -84,6 +84,28 @@
     std::size_t sentBytes = 0;
 };
 
+// Memory for the parsed form of a body, until its call ends: it is parsed again on the way.
+class ParsedMemory {
+public:
+    explicit ParsedMemory(MemoryAccount& memoryAccount)
+        : account(memoryAccount)
+    {
+    }
+    ~ParsedMemory() { this->account.shrinkConversation(this->held, this->held); }
+    ParsedMemory(const ParsedMemory&) = delete;
+    ParsedMemory& operator=(const ParsedMemory&) = delete;
+
+    // Returns false if there is none.
+    bool reserve(const std::string& body)
+    {
+        return body.empty() || this->account.growConversation(this->held, parsedBytes(body));
+    }
+
+private:
+    MemoryAccount& account;
+    std::size_t held = 0;
+};
+
 } // namespace
 
 CallerApi::CallerApi(Node& node, Counters& counters)
@@ -177,11 +199,15 @@
     std::size_t announced
         = request.hasContentLength() ? static_cast<std::size_t>(request.getContentLength64()) : std::size_t(0);
     BufferReservation reservation(this->memory, this->clock, announced, [&request] { endInput(request); });
+    ParsedMemory parsedMemory(this->memory);
     ForwardRequest parsed;
     bool streamed = false;
     ForwardEnd refusal = lovagecross::handle(
         [&]() -> Result<ForwardEnd> {
             BOOST_LEAF_ASSIGN(parsed, this->parse(request, reservation));
+            if (!parsedMemory.reserve(parsed.bodyJson))
+                return fail(Error { ErrorCode::Overloaded, "the memory for request bodies is used up", {},
+                    RunState::NotRun, memoryRetryAfter });
             if (parsed.kind == ForwardKind::Call && parsed.path == chatPath) {
                 BOOST_LEAF_AUTO(body, parseJsonObject(parsed.bodyJson));
                 BOOST_LEAF_ASSIGN(streamed, optionalBool(*body, "stream", false));
--- a/lovagecross/gateway/MemoryShares.h
+++ b/lovagecross/gateway/MemoryShares.h
@@ -26,7 +26,7 @@
 enum class MemoryUse {
     SmallBodies, // request bodies, and conversations, of at most `smallBodyBytes`
     LargeBodies,
-    Conversations, // preceding turns that are read, and sent with a request
+    Conversations, // preceding turns that are read, and sent with a request; parsed bodies at nodes that own programs
     Answers, // that are longer than `smallAnswerBytes` and forwarded once they are complete
     StoredTurns, // that are being sent to the record nodes
 };
--- a/lovagecross/runtime/Json.cpp
+++ b/lovagecross/runtime/Json.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t maxDepth = 64;
+constexpr std::size_t bytesOfValue = 512; // of a parsed object, the largest kind of value
 
 boost::leaf::error_id wrongType(const std::string& name, const char* expected)
 {
@@ -31,6 +32,22 @@
     }
 }
 
+std::size_t parsedBytes(std::string_view text)
+{
+    std::size_t values = 1;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        char character = text[i];
+        if (inString && character == '\\')
+            ++i;
+        else if (character == '"')
+            inString = !inString;
+        else if (!inString && (character == ',' || character == '{' || character == '['))
+            ++values;
+    }
+    return text.size() + values * bytesOfValue;
+}
+
 std::string toJson(const Poco::JSON::Object& object)
 {
     std::ostringstream out;
--- a/lovagecross/runtime/Json.h
+++ b/lovagecross/runtime/Json.h
@@ -14,6 +14,10 @@
 // Errors: BadRequest, with the parser's message, for text that is not one JSON object or nests deeper than 64 levels.
 Result<Poco::JSON::Object::Ptr> parseJsonObject(std::string_view text);
 
+// Approximate bytes of memory that the text takes once it is parsed: at least its own, and many times more if it has
+// many small values.
+std::size_t parsedBytes(std::string_view text);
+
 std::string toJson(const Poco::JSON::Object& object);
 
 // Returns the body of an error answer of the HTTP API.
--- a/lovagecross/soak/ProgramMemoryTest.cpp
+++ b/lovagecross/soak/ProgramMemoryTest.cpp
@@ -5,7 +5,9 @@
 #include "lovagecross/testing/Cluster.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <iostream>
 #include <string>
+#include <vector>
 
 namespace lovagecross::soak {
 
@@ -18,6 +20,9 @@
 constexpr std::size_t descriptorBound = 2 * crowdSize + 200; // the listener has two for each connection
 constexpr std::size_t pieceBytes = 64 * 1024;
 constexpr Duration ordinaryTimeout = std::chrono::seconds(30);
+constexpr std::size_t smallMemoryMegabytes = 64; // of the node that keeps calls
+constexpr std::size_t keptPrograms = 8;
+constexpr std::size_t callsOfProgram = 25; // 80 MB of calls in all
 
 } // namespace
 
@@ -29,6 +34,8 @@
     CPPUNIT_TEST(smallChunks);
     CPPUNIT_TEST(announcedBeyondTheLimit);
     CPPUNIT_TEST(sentBeyondTheLimit);
+    CPPUNIT_TEST(parsedBodies);
+    CPPUNIT_TEST(keptCalls);
     CPPUNIT_TEST_SUITE_END();
 
     static testing::ClusterOptions oneNode() { return { .nodes = { "lodz1" }, .engines = { "lodz1" }, .shards = 1 }; }
@@ -91,6 +98,44 @@
     {
         endure("sentBeyondTheLimit", "Transfer-Encoding: chunked", chunkedBody(4 * maxBodyBytes, 64 * 1024));
     }
+
+    // Guards against complete bodies of many small values, whose parsed form takes many times their bytes.
+    void parsedBodies()
+    {
+        std::string body = R"({"messages":[)";
+        while (body.size() + 16 < maxBodyBytes)
+            body += "{},";
+        body += "{}]}";
+        endure("parsedBodies", "Content-Length: " + std::to_string(body.size()), body);
+    }
+
+    // Guards against calls of legal size that exhaust the memory of the process with what it keeps of each.
+    void keptCalls()
+    {
+        testing::ClusterOptions options = oneNode();
+        options.extraSettings = R"("memoryMegabytes":)" + std::to_string(smallMemoryMegabytes) + ",";
+        testing::Cluster cluster("programMemory.keptCalls", options);
+        std::vector<std::string> programs;
+        for (std::size_t i = 0; i < keptPrograms; ++i)
+            programs.push_back(cluster.createProgram(0, "create-" + std::to_string(i), 100000000));
+        int answered = 0;
+        for (std::size_t i = 0; i < keptPrograms * callsOfProgram; ++i) {
+            std::string id = "kept-" + std::to_string(i);
+            answered
+                += cluster.chat(0, programs[i % keptPrograms], id, std::string(400 * 1024, 'x')).status == 200 ? 1 : 0;
+        }
+        int status = 0;
+        for (int calls = 0; status != 200 && calls < 2; ++calls) {
+            std::string program = cluster.createProgram(0, "ordinary-" + std::to_string(calls), 1000000);
+            status = cluster.chat(0, program, "ordinary-" + std::to_string(calls), "hello").status;
+        }
+        MemoryWatch watch(cluster.node(0).processId(), cluster.callerUrl(0).substr(std::string("http://").size()));
+        std::cerr << " [" << answered << " calls answered; peak " << watch.peakBytes / megabyte << " MB] ";
+        CPPUNIT_ASSERT_MESSAGE("the process has ended", cluster.node(0).running());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("an ordinary request is not answered", 200, status);
+        CPPUNIT_ASSERT_MESSAGE(
+            "peak of " + std::to_string(watch.peakBytes) + " bytes", watch.peakBytes < smallMemoryMegabytes * megabyte);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProgramMemoryTest);
