--- a/lovagecross/records/RecordLogTest.cpp
+++ b/lovagecross/records/RecordLogTest.cpp
@@ -49,6 +49,7 @@
     static bool appendAll(RecordLog& log, const std::vector<std::string>& entries)
     {
         std::vector<RecordLog::NewEntry> all;
+        all.reserve(entries.size());
         for (const std::string& entry : entries)
             all.push_back({ std::make_shared<const std::string>(entry) });
         return log.appendAllDurably(std::move(all));
--- a/lovagecross/soak/ConnectionTest.cpp
+++ b/lovagecross/soak/ConnectionTest.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t descriptorBound = 2 * crowdSize + 200;
 constexpr std::size_t programMemoryBoundBytes = 256 * megabyte; // half of what the unit file allows
 constexpr std::size_t programCrowdSize = 160; // more than it serves and queues, with 64 connections
+constexpr std::size_t largestHeadBytes = 16 * 1024; // of the sample configuration
 constexpr Duration ordinaryTimeout = std::chrono::seconds(30);
 constexpr auto holdTime = std::chrono::seconds(2); // before the ordinary request is sent
 
@@ -54,6 +55,7 @@
 class ConnectionTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConnectionTest);
     CPPUNIT_TEST(unfinishedHeads);
+    CPPUNIT_TEST(largeHeads);
     CPPUNIT_TEST(silentConnections);
     CPPUNIT_TEST(unfinishedBodies);
     CPPUNIT_TEST(idleConnections);
@@ -79,6 +81,12 @@
     // Guards against callers that stop within the head and hold all connections of an entry node.
     void unfinishedHeads() { endureCallers("unfinishedHeads", unfinishedHead); }
 
+    // Guards against heads of nearly the largest size that exhaust the memory of the node.
+    void largeHeads()
+    {
+        endureCallers("largeHeads", unfinishedHead + std::string(largestHeadBytes - unfinishedHead.size() - 10, 'x'));
+    }
+
     // Guards against callers that send nothing.
     void silentConnections() { endureCallers("silentConnections", {}); }
 
--- a/lovagecross/soak/ProgramMemoryTest.cpp
+++ b/lovagecross/soak/ProgramMemoryTest.cpp
@@ -4,9 +4,13 @@
 #include "lovagecross/soak/MemoryCrowd.h"
 #include "lovagecross/testing/Cluster.h"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <iostream>
+#include <map>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace lovagecross::soak {
@@ -21,7 +25,9 @@
 constexpr std::size_t pieceBytes = 64 * 1024;
 constexpr Duration ordinaryTimeout = std::chrono::seconds(30);
 constexpr std::size_t smallMemoryMegabytes = 64; // of the node that keeps calls
-constexpr std::size_t keptPrograms = 8;
+constexpr std::size_t creatingCallers = 16;
+constexpr std::size_t createdPrograms = 20'000;
+constexpr std::size_t usedPrograms = 8;
 constexpr std::size_t callsOfProgram = 25; // 80 MB of calls in all
 
 } // namespace
@@ -36,6 +42,7 @@
     CPPUNIT_TEST(sentBeyondTheLimit);
     CPPUNIT_TEST(parsedBodies);
     CPPUNIT_TEST(keptCalls);
+    CPPUNIT_TEST(keptPrograms);
     CPPUNIT_TEST_SUITE_END();
 
     static testing::ClusterOptions oneNode() { return { .nodes = { "lodz1" }, .engines = { "lodz1" }, .shards = 1 }; }
@@ -109,6 +116,42 @@
         endure("parsedBodies", "Content-Length: " + std::to_string(body.size()), body);
     }
 
+    // Guards against programs that are created and never used, each of which the process keeps.
+    void keptPrograms()
+    {
+        testing::ClusterOptions options = oneNode();
+        options.extraSettings = R"("memoryMegabytes":)" + std::to_string(smallMemoryMegabytes) + ",";
+        testing::Cluster cluster("programMemory.keptPrograms", options);
+        std::string program = cluster.createProgram(0, "create", 1000000);
+        const std::string url = cluster.callerUrl(0) + "/v1/programs";
+        const std::string body = R"({"rank":"urgent","budget":{"tokens":1000000}})";
+        std::atomic<std::size_t> next { 0 };
+        std::mutex mutex;
+        std::map<int, std::size_t> statuses;
+        std::vector<std::thread> callers;
+        for (std::size_t i = 0; i < creatingCallers; ++i) {
+            callers.emplace_back([&] {
+                for (std::size_t number = next++; number < createdPrograms; number = next++) {
+                    std::string id = std::string(100, 'n') + std::to_string(number);
+                    int status = testing::httpRequest("POST", url, body, { { "X-Lovagecross-Request-Id", id } }).status;
+                    std::lock_guard lock(mutex);
+                    ++statuses[status];
+                }
+            });
+        }
+        for (std::thread& caller : callers)
+            caller.join();
+        int status = cluster.chat(0, program, "ordinary", "hello").status;
+        MemoryWatch watch(cluster.node(0).processId(), cluster.callerUrl(0).substr(std::string("http://").size()));
+        for (const auto& [answer, count] : statuses)
+            std::cerr << " [" << count << " times " << answer << "] ";
+        std::cerr << " [peak " << watch.peakBytes / megabyte << " MB] ";
+        CPPUNIT_ASSERT_MESSAGE("the process has ended", cluster.node(0).running());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("an ordinary request is not answered", 200, status);
+        CPPUNIT_ASSERT_MESSAGE(
+            "peak of " + std::to_string(watch.peakBytes) + " bytes", watch.peakBytes < smallMemoryMegabytes * megabyte);
+    }
+
     // Guards against calls of legal size that exhaust the memory of the process with what it keeps of each.
     void keptCalls()
     {
@@ -116,13 +159,13 @@
         options.extraSettings = R"("memoryMegabytes":)" + std::to_string(smallMemoryMegabytes) + ",";
         testing::Cluster cluster("programMemory.keptCalls", options);
         std::vector<std::string> programs;
-        for (std::size_t i = 0; i < keptPrograms; ++i)
+        for (std::size_t i = 0; i < usedPrograms; ++i)
             programs.push_back(cluster.createProgram(0, "create-" + std::to_string(i), 100000000));
         int answered = 0;
-        for (std::size_t i = 0; i < keptPrograms * callsOfProgram; ++i) {
+        for (std::size_t i = 0; i < usedPrograms * callsOfProgram; ++i) {
             std::string id = "kept-" + std::to_string(i);
             answered
-                += cluster.chat(0, programs[i % keptPrograms], id, std::string(400 * 1024, 'x')).status == 200 ? 1 : 0;
+                += cluster.chat(0, programs[i % usedPrograms], id, std::string(400 * 1024, 'x')).status == 200 ? 1 : 0;
         }
         int status = 0;
         for (int calls = 0; status != 200 && calls < 2; ++calls) {
