Record nodes read turns at the platform page by page

A node that copies turns from the platform to the disks read all of them into one list, with the parsed form of each page, before it stored the first: by reading, the memory for it grew with what callers had sent while record nodes were away, 1 MB a turn.

The calls to the platform stay the same.

--- a/lovagecross/ports/ObjectStore.h
+++ b/lovagecross/ports/ObjectStore.h
@@ -16,8 +16,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace lovagecross {
@@ -80,6 +82,17 @@
 
     virtual ListResult list(std::string_view prefix, bool withValues) = 0;
 
+    // Passes the objects with their values to `visit`, in the order of `list`. May read them in several steps, so that
+    // those that come later needn't fit into memory with the earlier ones. Objects may have been visited although the
+    // status is not Ok.
+    virtual StoreStatus visit(std::string_view prefix, const std::function<void(StoredObject object)>& visitObject)
+    {
+        ListResult listed = this->list(prefix, true);
+        for (StoredObject& object : listed.objects)
+            visitObject(std::move(object));
+        return listed.status;
+    }
+
     // Blocks until the object's version is above `knownVersion` and returns the object, or returns NotFound if it does
     // not change within `timeout`. Counts as one call to the platform.
     virtual StoreResult watch(std::string_view key, std::uint64_t knownVersion, Duration timeout) = 0;
--- a/lovagecross/records/PlatformRecords.cpp
+++ b/lovagecross/records/PlatformRecords.cpp
@@ -162,46 +162,37 @@
     return PlatformVote::Unavailable;
 }
 
-std::optional<std::vector<PlatformRecords::ListedObject>> PlatformRecords::list(std::string_view prefix)
+bool PlatformRecords::visit(std::string_view prefix, const std::function<void(ListedObject object)>& visitObject)
 {
-    ListResult listed = this->store.list(prefix, true);
-    if (listed.status != StoreStatus::Ok)
-        return std::nullopt;
-    std::vector<ListedObject> all;
-    for (StoredObject& object : listed.objects) {
+    StoreStatus status = this->store.visit(prefix, [&visitObject](StoredObject object) {
         auto records = parseRecords(object.value);
         if (!records)
             LogLine(LogLevel::Error, "platform_record_unreadable").field("key", object.key).write();
-        all.push_back({ std::move(object.key), object.version, std::move(records) });
-    }
-    return all;
+        visitObject({ std::move(object.key), object.version, std::move(records) });
+    });
+    return status == StoreStatus::Ok;
 }
 
 std::optional<std::vector<Reservation>> PlatformRecords::reservations()
 {
-    auto listed = this->list(budgetPrefix);
-    if (!listed)
-        return std::nullopt;
     std::vector<Reservation> all;
-    for (const ListedObject& entry : *listed) {
-        if (!entry.records)
-            return std::nullopt;
-        all.insert(all.end(), entry.records->reservations.begin(), entry.records->reservations.end());
-    }
-    return all;
+    bool allReadable = true;
+    bool answered = this->visit(budgetPrefix, [&](const ListedObject& entry) {
+        allReadable = allReadable && entry.records;
+        if (entry.records)
+            all.insert(all.end(), entry.records->reservations.begin(), entry.records->reservations.end());
+    });
+    return answered && allReadable ? std::optional(std::move(all)) : std::nullopt;
 }
 
-std::optional<std::vector<StoredTurn>> PlatformRecords::turns()
+bool PlatformRecords::visitTurns(const std::function<void(StoredTurn turn)>& visitTurn)
 {
-    auto listed = this->list(keptTurnPrefix);
-    if (!listed)
-        return std::nullopt;
-    std::vector<StoredTurn> all;
-    for (const ListedObject& entry : *listed) {
-        if (entry.records)
-            all.insert(all.end(), entry.records->turns.begin(), entry.records->turns.end());
-    }
-    return all;
+    return this->visit(keptTurnPrefix, [&visitTurn](ListedObject entry) {
+        if (!entry.records)
+            return;
+        for (StoredTurn& turn : entry.records->turns)
+            visitTurn(std::move(turn));
+    });
 }
 
 void PlatformRecords::removeTurn(const std::string& id)
@@ -213,13 +204,11 @@
 void PlatformRecords::removeExpiredBudgets(
     std::int64_t nowUnixMillis, const std::function<bool(const std::string&)>& isInUse)
 {
-    auto listed = this->list(budgetPrefix);
-    if (!listed)
-        return; // the next call retries
-    for (const ListedObject& entry : *listed) {
+    // What isn't read now is read by the next call.
+    this->visit(budgetPrefix, [&](const ListedObject& entry) {
         if (entry.records && !anyNeeded(*entry.records, nowUnixMillis, isInUse))
             this->removed.add(this->store.remove(entry.key, entry.version).ok() ? 1 : 0);
-    }
+    });
 }
 
 } // namespace lovagecross
--- a/lovagecross/records/PlatformRecords.h
+++ b/lovagecross/records/PlatformRecords.h
@@ -81,8 +81,9 @@
     // Returns all reservations at the platform, or nullopt if any of them can't be read.
     std::optional<std::vector<Reservation>> reservations();
 
-    // Returns all readable turns at the platform, or nullopt if the platform doesn't respond.
-    std::optional<std::vector<StoredTurn>> turns();
+    // Passes all readable turns at the platform to `visitTurn`, which may take long, one after the other. Returns false
+    // if the platform doesn't respond.
+    bool visitTurns(const std::function<void(StoredTurn turn)>& visitTurn);
 
     void removeTurn(const std::string& id);
     // Removes the objects of programs whose reservations at the platform have all expired, unless `isInUse` returns
@@ -96,8 +97,8 @@
         std::optional<RecordResponse> records; // nullopt if the object can't be decoded
     };
 
-    // Returns nullopt if the platform doesn't respond.
-    std::optional<std::vector<ListedObject>> list(std::string_view prefix);
+    // Returns false if the platform doesn't respond.
+    bool visit(std::string_view prefix, const std::function<void(ListedObject object)>& visitObject);
 
     ObjectStore& store;
     Counter& turnsKept;
--- a/lovagecross/records/PlatformRecordsTest.cpp
+++ b/lovagecross/records/PlatformRecordsTest.cpp
@@ -30,6 +30,13 @@
         return { "program", request, tokens, false, 1000 };
     }
 
+    std::size_t turnCount()
+    {
+        std::size_t count = 0;
+        CPPUNIT_ASSERT(this->records.visitTurns([&count](const StoredTurn&) { ++count; }));
+        return count;
+    }
+
     void turnsAreKeptAndRead()
     {
         StoredTurn turn { "id/\xff", "", "in", "out", "program", 1000 };
@@ -38,12 +45,12 @@
         CPPUNIT_ASSERT(this->records.keepTurn(turn) && this->records.keepTurn(turn));
         CPPUNIT_ASSERT(this->records.readTurn(turn.id, found) == TurnRead::Found);
         CPPUNIT_ASSERT_EQUAL(turn.output, found.output);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->records.turns()->size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->turnCount());
         this->records.removeTurn(turn.id);
         CPPUNIT_ASSERT(this->records.readTurn(turn.id, found) == TurnRead::Absent);
         this->store.setUnavailable(true);
         CPPUNIT_ASSERT(this->records.readTurn(turn.id, found) == TurnRead::Unavailable);
-        CPPUNIT_ASSERT(!this->records.keepTurn(turn) && !this->records.turns());
+        CPPUNIT_ASSERT(!this->records.keepTurn(turn) && !this->records.visitTurns([](const StoredTurn&) {}));
     }
 
     void budgetCountsWhatMembersReport()
--- a/lovagecross/records/RecordNode.h
+++ b/lovagecross/records/RecordNode.h
@@ -163,6 +163,7 @@
     void announce(const Roster& roster);
     void removeFailedMember(const Roster& roster);
     void drainPlatform(const Roster& roster);
+    void copyToDisks(const Roster& roster, StoredTurn turn);
     void leave();
     bool handedOver(const Roster& roster);
     void expire();
--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -149,29 +149,34 @@
         std::lock_guard lock(this->mutex);
         return this->table.hasProgram(program);
     });
-    auto turns = this->platform.turns();
-    if (!turns)
-        return;
-    for (const StoredTurn& turn : *turns) {
-        std::vector<const RosterMember*> holders;
-        for (const RosterMember* replica : replicasOf(roster, turn.group, this->settings.tolerance)) {
-            StoreTurnRequest request { roster.epoch, turn };
-            auto stored = replica->node == this->settings.node
-                ? this->handle(request)
-                : this->sendRequest(replica->address, request, storeTimeout);
-            if (stored && stored->status == RecordStatus::Ok)
-                holders.push_back(replica);
-        }
-        if (enoughCopies(holders, this->settings.tolerance))
-            this->drainedTurnIds.push_back(turn.id);
-    }
-    if (!turns->empty())
+    std::size_t found = 0;
+    this->platform.visitTurns([&](StoredTurn turn) {
+        ++found;
+        this->copyToDisks(roster, std::move(turn));
+    });
+    if (found > 0)
         LogLine(LogLevel::Info, "platform_turns_drained")
-            .field("found", turns->size())
+            .field("found", found)
             .field("onDisks", this->drainedTurnIds.size())
             .write();
 }
 
+// Stores a turn on the disks of its replicas, and notes it once enough of them have it.
+void RecordNode::copyToDisks(const Roster& roster, StoredTurn turn)
+{
+    std::vector<const RosterMember*> holders;
+    std::vector<const RosterMember*> replicas = replicasOf(roster, turn.group, this->settings.tolerance);
+    const StoreTurnRequest request { roster.epoch, std::move(turn) };
+    for (const RosterMember* replica : replicas) {
+        auto stored = replica->node == this->settings.node ? this->handle(request)
+                                                           : this->sendRequest(replica->address, request, storeTimeout);
+        if (stored && stored->status == RecordStatus::Ok)
+            holders.push_back(replica);
+    }
+    if (enoughCopies(holders, this->settings.tolerance))
+        this->drainedTurnIds.push_back(request.turn.id);
+}
+
 void RecordNode::leaveBeforeShutdown(Duration maxWait)
 {
     {
