Record nodes store the turns that they promised room for

Found by reading: a large turn was measured against the share of large turns again when it was stored, after it had run, so that small turns which came meanwhile could have it refused. RecordRoomTest::turnThatHasRunMayUseTheWholeRoom.

--- a/lovagecross/records/RecordNode.cpp
+++ b/lovagecross/records/RecordNode.cpp
@@ -262,10 +262,9 @@
         std::lock_guard lock(this->mutex);
         if (!this->acceptsEpoch(request.epoch, response))
             return response;
-        bool known = this->table.turnEntry(request.turn.id).has_value();
+        bool mustStore = this->table.turnEntry(request.turn.id) || this->promises.has(request.turn.id);
         this->promises.release(request.turn.id);
-        // Its request was promised room at a majority of the replicas, this one or not.
-        if (!known && !hasRoom(this->room, this->usedRoom(), { encoded->size(), true }))
+        if (!mustStore && !fitsIntoRoom(this->room, this->usedRoom(), encoded->size()))
             return this->refuseForRoom();
         this->table.addTurn(headOf(request.turn), { {}, encoded });
     }
--- a/lovagecross/records/RecordRoom.cpp
+++ b/lovagecross/records/RecordRoom.cpp
@@ -46,6 +46,11 @@
     return disk && used.indexBytes <= eighthsOf(room.indexBytes, std::max(share, firstTurnEighths));
 }
 
+bool fitsIntoRoom(const RecordRoom& room, const RoomUse& used, std::size_t turnBytes)
+{
+    return used.turnBytes + turnBytes <= room.turnBytes && used.indexBytes <= room.indexBytes;
+}
+
 void RoomPromises::add(const std::string& requestId, std::size_t bytes, TimePoint now)
 {
     this->release(requestId);
--- a/lovagecross/records/RecordRoom.h
+++ b/lovagecross/records/RecordRoom.h
@@ -47,6 +47,9 @@
 
 bool hasRoom(const RecordRoom& room, const RoomUse& used, const RoomRequest& wanted);
 
+// Whether a turn that was promised no room, and has run, fits into the whole room.
+bool fitsIntoRoom(const RecordRoom& room, const RoomUse& used, std::size_t turnBytes);
+
 // Room that requests were promised before they run, for the turns that they will store.
 class RoomPromises {
 public:
--- a/lovagecross/records/RecordRoomTest.cpp
+++ b/lovagecross/records/RecordRoomTest.cpp
@@ -8,6 +8,7 @@
     CPPUNIT_TEST_SUITE(RecordRoomTest);
     CPPUNIT_TEST(usualTurnsFitBesideLargeOnes);
     CPPUNIT_TEST(conversationsThatHaveBegunGoOn);
+    CPPUNIT_TEST(turnThatHasRunMayUseTheWholeRoom);
     CPPUNIT_TEST(indexLimitsSmallRecords);
     CPPUNIT_TEST(siteOfTheUsersHasRoom);
     CPPUNIT_TEST(promisesAreCountedUntilTheTurnIsStored);
@@ -35,6 +36,15 @@
         CPPUNIT_ASSERT(!hasRoom(room, { 80 * megabyte, 0 }, { 30'000, true }));
     }
 
+    // A large turn must not be refused after it has run, since others have filled more than its share meanwhile.
+    void turnThatHasRunMayUseTheWholeRoom()
+    {
+        RoomUse used { 60 * megabyte, 0 };
+        CPPUNIT_ASSERT(!hasRoom(room, used, { megabyte, true }));
+        CPPUNIT_ASSERT(fitsIntoRoom(room, used, megabyte));
+        CPPUNIT_ASSERT(!fitsIntoRoom(room, used, 21 * megabyte));
+    }
+
     // Records that take little of the disk must not exhaust the memory.
     void indexLimitsSmallRecords()
     {
