Listeners: a connection that is closed for another one is shut down by its own descriptor

Found by reading: POCO closes the descriptor of a connection that has ended shortly before the connection leaves the table. A new connection could have got the number, and been shut down in its place. The table now uses the duplicate that the connection had for its answer to malformed requests.

--- a/lovagecross/daemon/HttpServer.cpp
+++ b/lovagecross/daemon/HttpServer.cpp
@@ -20,7 +20,9 @@
 #include <atomic>
 #include <istream>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -30,6 +32,31 @@
 
 namespace detail {
 
+// A tracked connection with a descriptor of its own: POCO closes that of the socket while the connection is tracked.
+class AcceptedConnection {
+public:
+    AcceptedConnection(ConnectionTable& table, const Poco::Net::StreamSocket& socket)
+        : duplicate(::dup(socket.impl()->sockfd()))
+        , tracked(std::in_place, table, [fd = this->duplicate] { ::shutdown(fd, SHUT_RDWR); })
+    {
+    }
+    ~AcceptedConnection()
+    {
+        this->tracked.reset();
+        if (this->duplicate >= 0)
+            ::close(this->duplicate);
+    }
+    AcceptedConnection(const AcceptedConnection&) = delete;
+    AcceptedConnection& operator=(const AcceptedConnection&) = delete;
+
+    int descriptor() const { return this->duplicate; }
+    TrackedConnection& connection() { return *this->tracked; }
+
+private:
+    const int duplicate;
+    std::optional<TrackedConnection> tracked;
+};
+
 // The connections of a listener, from the moment when they are accepted: they may wait for a thread.
 class ListenerConnections {
 public:
@@ -42,18 +69,19 @@
 
     void add(const Poco::Net::StreamSocket& socket)
     {
-        auto tracked = std::make_shared<TrackedConnection>(
-            this->table, [fd = socket.impl()->sockfd()] { ::shutdown(fd, SHUT_RDWR); });
+        auto accepted = std::make_unique<AcceptedConnection>(this->table, socket);
         std::lock_guard lock(this->mutex);
-        this->waiting[socket.impl()] = { socket, std::move(tracked) };
+        this->waiting[socket.impl()] = { socket, std::move(accepted) };
     }
 
     // Returns the connection of a socket for the thread that serves it.
-    std::shared_ptr<TrackedConnection> take(const Poco::Net::StreamSocket& socket)
+    std::unique_ptr<AcceptedConnection> take(const Poco::Net::StreamSocket& socket)
     {
         std::lock_guard lock(this->mutex);
         auto found = this->waiting.extract(socket.impl());
-        return found.empty() ? nullptr : std::move(found.mapped().tracked);
+        if (found.empty()) // the listener has stopped
+            return std::make_unique<AcceptedConnection>(this->table, socket);
+        return std::move(found.mapped().accepted);
     }
 
     // Closes the connections that no thread serves yet.
@@ -65,8 +93,8 @@
 
 private:
     struct Waiting {
-        Poco::Net::StreamSocket socket; // open while the connection is tracked
-        std::shared_ptr<TrackedConnection> tracked;
+        Poco::Net::StreamSocket socket; // keeps the key's address in use
+        std::unique_ptr<AcceptedConnection> accepted;
     };
 
     SystemClock clock;
@@ -79,6 +107,7 @@
 
 namespace {
 
+using detail::AcceptedConnection;
 using detail::ListenerConnections;
 
 // A handler uses a few kilobytes of stack. A small stack keeps the memory cost of many waiting callers low.
@@ -206,9 +235,9 @@
 class GuardedConnection final : public Poco::Net::HTTPServerConnection {
 public:
     GuardedConnection(const Poco::Net::StreamSocket& connected, const Poco::Net::HTTPServerParams::Ptr& serverParams,
-        const Poco::SharedPtr<FunctionHandlerFactory>& handlers, std::shared_ptr<TrackedConnection> connection)
+        const Poco::SharedPtr<FunctionHandlerFactory>& handlers, std::unique_ptr<AcceptedConnection> connection)
         : Poco::Net::HTTPServerConnection(connected, serverParams, handlers)
-        , tracked(std::move(connection))
+        , accepted(std::move(connection))
     {
     }
 
@@ -216,8 +245,8 @@
     // a response. A duplicate of the socket's descriptor lets this method still send 400.
     void run() override
     {
-        int descriptor = ::dup(this->socket().impl()->sockfd());
-        servedConnection = this->tracked.get();
+        int descriptor = this->accepted->descriptor();
+        servedConnection = &this->accepted->connection();
         try {
             Poco::Net::HTTPServerConnection::run();
         } catch (const Poco::DataException&) {
@@ -229,13 +258,11 @@
             LogLine(LogLevel::Info, "caller_connection").field("error", error.what()).write();
         }
         servedConnection = nullptr;
-        if (descriptor >= 0)
-            ::close(descriptor);
-        this->tracked.reset(); // before the socket is closed
+        this->accepted.reset();
     }
 
 private:
-    std::shared_ptr<TrackedConnection> tracked;
+    std::unique_ptr<AcceptedConnection> accepted;
 };
 
 // Makes room for each new connection.
