--- a/lovagecross/records/RecordLog.cpp
+++ b/lovagecross/records/RecordLog.cpp
@@ -1,8 +1,8 @@
 #include "lovagecross/records/RecordLog.h"
 
 #include "lovagecross/adapters/Log.h"
+#include "lovagecross/records/SegmentFile.h"
 
-#include <Poco/Checksum.h>
 #include <algorithm>
 #include <array>
 #include <cerrno>
@@ -19,41 +19,17 @@
 
 namespace {
 
-constexpr std::size_t headerBytes = 8; // length and checksum, little endian
-constexpr std::size_t maxEntryBytes = 16 * 1024 * 1024;
-constexpr std::size_t blockBytes = 64 * 1024; // of one read
+using detail::appendUint32;
+using detail::headerBytes;
+using detail::SegmentReader;
+using detail::SegmentWriter;
+using detail::writeWhole;
+
 constexpr std::size_t moveBatchBytes = 256 * 1024; // that a compaction holds before they are written
 constexpr std::string_view segmentPrefix = "segment-";
 constexpr std::string_view identityName = "identity";
 constexpr std::uint64_t identityMask = (std::uint64_t(1) << 52U) - 1; // a JSON number holds the value exactly
 
-std::uint32_t checksumOf(std::string_view bytes)
-{
-    Poco::Checksum checksum(Poco::Checksum::TYPE_CRC32);
-    checksum.update(bytes.data(), static_cast<unsigned>(bytes.size()));
-    return checksum.checksum();
-}
-
-void appendUint32(std::string& out, std::uint32_t number)
-{
-    for (unsigned shift = 0; shift < 32; shift += 8)
-        out += static_cast<char>((number >> shift) & 0xffU);
-}
-
-std::uint32_t readUint32(std::string_view bytes)
-{
-    std::uint32_t number = 0;
-    for (unsigned i = 0; i < 4; ++i)
-        number |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
-    return number;
-}
-
-void appendHeader(std::string& out, std::string_view entry)
-{
-    appendUint32(out, static_cast<std::uint32_t>(entry.size()));
-    appendUint32(out, checksumOf(entry));
-}
-
 bool readWholeFile(const std::string& path, std::string& content)
 {
     int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
@@ -67,142 +43,6 @@
     return count == 0;
 }
 
-// Reads the entries of a segment one after the other. Holds one entry and one block at most.
-class SegmentReader {
-public:
-    explicit SegmentReader(const std::string& path)
-        : fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC))
-        , readFailed(this->fd < 0)
-        , atEnd(this->fd < 0)
-    {
-    }
-    ~SegmentReader()
-    {
-        if (this->fd >= 0)
-            ::close(this->fd);
-    }
-    SegmentReader(const SegmentReader&) = delete;
-    SegmentReader& operator=(const SegmentReader&) = delete;
-
-    // Sets `entry` to the next entry, which is valid until the next call, and `start` to where its header is. Returns
-    // false at the end of the segment and at the first entry that is torn or doesn't match its checksum.
-    bool next(std::string_view& entry, std::uint64_t& start)
-    {
-        if (!this->require(headerBytes))
-            return false;
-        std::size_t size = readUint32(this->unread());
-        if (size > maxEntryBytes || !this->require(headerBytes + size))
-            return false;
-        std::string_view found = this->unread().substr(headerBytes, size);
-        if (checksumOf(found) != readUint32(this->unread().substr(4)))
-            return false;
-        start = this->totalBytes - this->unread().size();
-        this->offset += headerBytes + size;
-        entry = found;
-        return true;
-    }
-
-    // Reads to the end of the segment. Returns the number of bytes after the last entry.
-    std::size_t skipRest()
-    {
-        std::size_t rest = 0;
-        do {
-            rest += this->unread().size();
-            this->window.clear();
-            this->offset = 0;
-        } while (this->readBlock());
-        return rest;
-    }
-
-    bool failed() const { return this->readFailed; }
-    std::size_t bytesRead() const { return this->totalBytes; }
-
-private:
-    std::string_view unread() const { return std::string_view(this->window).substr(this->offset); }
-
-    // Reads until `count` unread bytes are in the window. Returns false if the segment has fewer.
-    bool require(std::size_t count)
-    {
-        if (this->unread().size() >= count)
-            return true;
-        this->window.erase(0, this->offset);
-        this->offset = 0;
-        this->window.reserve(count + blockBytes);
-        while (this->window.size() < count) {
-            if (!this->readBlock())
-                return false;
-        }
-        return true;
-    }
-
-    // Returns false at the end of the segment and after an error.
-    bool readBlock()
-    {
-        if (this->atEnd)
-            return false;
-        std::size_t before = this->window.size();
-        this->window.resize(before + blockBytes);
-        ssize_t count = ::read(this->fd, this->window.data() + before, blockBytes);
-        std::size_t added = count > 0 ? static_cast<std::size_t>(count) : 0;
-        this->window.resize(before + added);
-        this->totalBytes += added;
-        this->readFailed = count < 0;
-        this->atEnd = count <= 0;
-        return !this->atEnd;
-    }
-
-    const int fd;
-    bool readFailed;
-    bool atEnd;
-    std::string window; // bytes of the file, read up to `offset`
-    std::size_t offset = 0;
-    std::size_t totalBytes = 0;
-};
-
-bool writeWhole(int fd, std::string_view bytes)
-{
-    while (!bytes.empty()) {
-        ssize_t count = ::write(fd, bytes.data(), bytes.size());
-        if (count < 0 && errno == EINTR)
-            continue;
-        if (count <= 0)
-            return false;
-        bytes.remove_prefix(static_cast<std::size_t>(count));
-    }
-    return true;
-}
-
-// Writes entries with their headers to a file, small ones in blocks.
-class BlockWriter {
-public:
-    explicit BlockWriter(int openFile)
-        : fd(openFile)
-    {
-    }
-
-    bool add(std::string_view entry)
-    {
-        appendHeader(this->block, entry);
-        if (entry.size() >= blockBytes) // appending it would copy it
-            return this->flush() && writeWhole(this->fd, entry);
-        this->block += entry;
-        return this->block.size() < blockBytes || this->flush();
-    }
-
-    // Returns false if this or an earlier write failed.
-    bool flush()
-    {
-        this->stored = this->stored && writeWhole(this->fd, this->block);
-        this->block.clear();
-        return this->stored;
-    }
-
-private:
-    const int fd;
-    std::string block;
-    bool stored = true;
-};
-
 void syncFolder(const std::string& folder)
 {
     int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
@@ -421,7 +261,7 @@
 
 bool RecordLog::writeEntries(const Batch& batch, std::vector<LogLocation>& locations)
 {
-    BlockWriter out(this->file);
+    SegmentWriter out(this->file);
     std::uint64_t offset = this->segmentBytes;
     for (const NewEntry& entry : batch.entries) {
         locations.push_back({ this->openSegment, offset, entry.bytes->size() });
@@ -452,7 +292,7 @@
     ::close(fd);
     std::string header;
     if (readable)
-        appendHeader(header, std::string_view(bytes).substr(headerBytes));
+        detail::appendEntryHeader(header, std::string_view(bytes).substr(headerBytes));
     if (!readable || std::string_view(bytes).substr(0, headerBytes) != header) {
         LogLine(LogLevel::Error, "record_log")
             .field("problem", "entry not readable")
