Record nodes leave only when the others have enough copies

Cause: handedOver did not wait for members that had been silent for 3 s, up to the machines that may be lost. Of two members left it took one as enough, so that the turns were on a single disk.

Change: silent members are not waited for as far as each record keeps lossMachines + 1 copies without them: with two members left, both must have fetched everything.

--- a/lovagecross/records/RecordNodeMaintenance.cpp
+++ b/lovagecross/records/RecordNodeMaintenance.cpp
@@ -498,7 +498,8 @@
 }
 
 // Returns whether every member has completed the fill of the roster, so that none needs this node as a source any more.
-// Members that have been silent for a while are not waited for, as long as they are no more than tolerated.
+// Members that have been silent for a while are not waited for, as long as each record still has enough copies without
+// them to survive the loss of another disk.
 bool RecordNode::handedOver(const Roster& roster)
 {
     TimePoint now = this->parts.clock.now();
@@ -519,7 +520,9 @@
         TimePoint since = this->silentSince.emplace(member.node, now).first->second;
         lost += now - since >= silentMemberTimeout ? 1 : 0;
     }
-    std::size_t tolerated = std::min<std::size_t>(lost, this->settings.tolerance.machines);
+    std::size_t copies = std::min(roster.members.size(), replicationFactor(this->settings.tolerance));
+    std::size_t neededCopies = std::min<std::size_t>(copies, this->settings.tolerance.machines + 1);
+    std::size_t tolerated = std::min(lost, copies - neededCopies);
     std::size_t needed = std::max<std::size_t>(roster.members.size() - tolerated, 1);
     LogLine(LogLevel::Info, "retiring")
         .field("epoch", roster.epoch)
--- a/lovagecross/records/RecordStoreTest.cpp
+++ b/lovagecross/records/RecordStoreTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(originIsKnownWithTheLastTwoNodes);
     CPPUNIT_TEST(platformVotesWithTheLastTwoNodes);
     CPPUNIT_TEST(grantsOfThePlatformOutliveARosterChange);
+    CPPUNIT_TEST(retirementWaitsForTheSecondCopy);
     CPPUNIT_TEST(nodeThatStopsHandsOverWhatItHolds);
     CPPUNIT_TEST(goneNodeIsRemovedFromTheRoster);
     CPPUNIT_TEST(turnsAtThePlatformComeToTheDisks);
@@ -394,6 +395,28 @@
         CPPUNIT_ASSERT(waitFor([this] { return this->reserve("later") == GrantStatus::Exhausted; }));
     }
 
+    // Guards against a retirement that leaves turns on a single disk, because a member that is silent is not waited
+    // for.
+    void retirementWaitsForTheSecondCopy()
+    {
+        RecordNode& leaving = *this->nodes[0]->node;
+        const std::string& silent = this->nodes[1]->settings.address;
+        this->network.setPartitioned(silent, true);
+        CPPUNIT_ASSERT(this->client->keep(
+            { "t1", "", "program", "in", "out", std::chrono::seconds(60), "program" }, this->defaultDeadline()));
+        leaving.retire();
+        CPPUNIT_ASSERT(waitFor([&] { return leaving.roster().members.size() == 2; }));
+        for (int second = 0; second < 5; ++second) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(300)); // the node asks the members meanwhile
+            this->clock->advance(std::chrono::seconds(1));
+            CPPUNIT_ASSERT_MESSAGE("after " + std::to_string(second) + " s", !leaving.retired());
+        }
+        this->network.setPartitioned(silent, false);
+        CPPUNIT_ASSERT(waitFor([&] { return leaving.retired(); }));
+        RecordResponse copy = this->nodes[1]->node->handle(ReadChainRequest { "t1" });
+        CPPUNIT_ASSERT(copy.status == RecordStatus::Ok);
+    }
+
     // Regression test: a node was permanently stopped when its successor had already joined. The loss of one more disk
     // then exceeded the tolerated failures.
     void nodeThatStopsHandsOverWhatItHolds()
