Entry node: a stored turn no longer keeps the buffer of its conversation

Cause: the input of a turn was cut out of the request's body in place, so its string kept the buffer of up to 16 MB. Since the turn is moved, not copied, into the cache, which counts texts by their size: 16 turns of 950 KB held buffers of 1 to 15 MB each.

--- a/lovagecross/gateway/CallRunner.cpp
+++ b/lovagecross/gateway/CallRunner.cpp
@@ -268,8 +268,9 @@
 // be sent again.
 std::string CallRunner::takeTurnInput()
 {
-    this->body.erase(0, std::exchange(this->inputStart, 0));
-    return std::move(this->body);
+    std::string input = this->body.substr(std::exchange(this->inputStart, 0)); // without the conversation's buffer
+    std::string().swap(this->body);
+    return input;
 }
 
 std::optional<AfterCall> CallRunner::reserveTokens(const Route& found, const StreamOrigin& newOrigin)
--- a/lovagecross/records/RecordClient.cpp
+++ b/lovagecross/records/RecordClient.cpp
@@ -51,6 +51,14 @@
     return clock.unixMillis() + 2 * toMillis(retention) + expiryMarginMillis;
 }
 
+// Returns the text of a turn in a buffer of its size, since it may stay in the cache.
+std::string textOf(const StoredTurn& turn)
+{
+    std::string text;
+    text.reserve(turn.input.size() + turn.output.size());
+    return text.append(turn.input).append(turn.output);
+}
+
 StreamOrigin originOf(const ProgramReservations& reservations, const std::string& requestId)
 {
     auto found = reservations.find(requestId);
@@ -500,8 +508,7 @@
         std::this_thread::sleep_for(std::min<Duration>(pause, deadline - now));
         pause = std::min(pause * 2, maxKeepRetryInterval);
     }
-    this->cache.add(
-        { std::move(turn.id), std::move(turn.previous), std::move(turn.input) + turn.output, std::move(turn.group) });
+    this->cache.add({ turn.id, turn.previous, textOf(turn), turn.group });
     return true;
 }
 
@@ -538,8 +545,9 @@
         auto turn = this->cache.find(next);
         if (auto found = fetched.extract(next); !turn && !found.empty()) {
             StoredTurn stored = std::move(found.mapped());
-            turn = CachedTurn { std::move(stored.id), std::move(stored.previous),
-                std::move(stored.input) + stored.output, std::move(stored.group) };
+            std::string text = textOf(stored);
+            turn = CachedTurn { std::move(stored.id), std::move(stored.previous), std::move(text),
+                std::move(stored.group) };
             this->cache.add(*turn);
         }
         if (turn) {
